--- /dev/null
+++ b/crates/peridotslip-cli/src/files.rs
@@ -0,0 +1,120 @@
+//! The tables as files: `routes.yaml` and `pools.yaml` in one directory.
+//!
+//! Each may carry the `revision` that it was got at. An edit of that revision
+//! is repeated on top of what is in force; without a revision the files
+//! replace what is in force.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use peridotslip::{
+    ids::Revision,
+    tables::{Budget, Pool, PoolTable, Route, RouteTable, Tables},
+};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// The file of the routes table.
+pub(crate) const ROUTES_FILE: &str = "routes.yaml";
+/// The file of the pools table.
+pub(crate) const POOLS_FILE: &str = "pools.yaml";
+
+quick_error! {
+    /// Why files can't be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file can't be read or written.
+        Io(file: PathBuf, err: std::io::Error) {
+            display("{}: {err}; name a directory with {ROUTES_FILE} and {POOLS_FILE}", file.display())
+        }
+        /// A file is not a table.
+        Parse(file: PathBuf, err: String) {
+            display("{}: {err}; see docs/OPERATORS.md for the fields", file.display())
+        }
+        /// The two files are of different revisions.
+        Revisions(routes: Revision, pools: Revision) {
+            display("{ROUTES_FILE} is of revision {routes} and {POOLS_FILE} of {pools}; get both again")
+        }
+    }
+}
+
+/// The result of reading or writing files.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RoutesFile {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    routes: Vec<Route>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PoolsFile {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    #[serde(default)]
+    budgets: Vec<Budget>,
+    #[serde(default)]
+    pools: Vec<Pool>,
+}
+
+/// Tables from files, and the revision they were got at, if they say so.
+pub(crate) struct Loaded {
+    pub(crate) tables: Tables,
+    pub(crate) revision: Option<Revision>,
+}
+
+/// Reads both files of a directory.
+pub(crate) fn load(dir: &Path) -> Result<Loaded> {
+    let routes: RoutesFile = read(&dir.join(ROUTES_FILE))?;
+    let pools: PoolsFile = read(&dir.join(POOLS_FILE))?;
+    if let (Some(a), Some(b)) = (routes.revision, pools.revision)
+        && a != b
+    {
+        return Err(Error::Revisions(a, b));
+    }
+    let revision = routes.revision.or(pools.revision);
+    let tables = Tables {
+        revision: revision.unwrap_or_default(),
+        routes: RouteTable {
+            routes: routes.routes,
+        },
+        pools: PoolTable {
+            budgets: pools.budgets,
+            pools: pools.pools,
+        },
+    };
+    Ok(Loaded { tables, revision })
+}
+
+/// Writes both files of a directory.
+pub(crate) fn save(dir: &Path, tables: &Tables) -> Result<()> {
+    let revision = Some(tables.revision);
+    fs::create_dir_all(dir).map_err(|err| Error::Io(dir.to_owned(), err))?;
+    let routes = RoutesFile {
+        revision,
+        routes: tables.routes.routes.clone(),
+    };
+    let pools = PoolsFile {
+        revision,
+        budgets: tables.pools.budgets.clone(),
+        pools: tables.pools.pools.clone(),
+    };
+    write(&dir.join(ROUTES_FILE), &routes)?;
+    write(&dir.join(POOLS_FILE), &pools)
+}
+
+fn read<T: DeserializeOwned>(file: &Path) -> Result<T> {
+    let text = fs::read_to_string(file).map_err(|err| Error::Io(file.to_owned(), err))?;
+    serde_saphyr::from_str(&text).map_err(|err| Error::Parse(file.to_owned(), err.to_string()))
+}
+
+fn write<T: Serialize>(file: &Path, value: &T) -> Result<()> {
+    let text = serde_saphyr::to_string(value)
+        .map_err(|err| Error::Parse(file.to_owned(), err.to_string()))?;
+    fs::write(file, text).map_err(|err| Error::Io(file.to_owned(), err))
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/backend.rs
@@ -0,0 +1,38 @@
+//! Talking to backend servers.
+
+pub(crate) mod forward;
+pub(crate) mod sse;
+
+use std::time::Duration;
+
+use peridotslip::{
+    balance::{LeastLoaded, RoundRobin, TwoChoices},
+    prelude::*,
+};
+
+use crate::settings::BackendSettings;
+
+/// The policy of this name.
+pub(crate) fn policy(name: &str) -> Option<Box<dyn Policy>> {
+    let all: [Box<dyn Policy>; 3] = [
+        Box::new(RoundRobin::default()),
+        Box::new(LeastLoaded),
+        Box::new(TwoChoices),
+    ];
+    all.into_iter().find(|policy| policy.name() == name)
+}
+
+/// A client for backend servers that uses connections again if `reuse`.
+pub(crate) fn client(
+    settings: &BackendSettings,
+    reuse: bool,
+) -> Result<reqwest::Client, reqwest::Error> {
+    let idle = if reuse { usize::MAX } else { 0 };
+    reqwest::Client::builder()
+        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .tcp_nodelay(true)
+        .pool_max_idle_per_host(idle)
+        .redirect(reqwest::redirect::Policy::none())
+        .no_proxy()
+        .build()
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -0,0 +1,126 @@
+//! What a request carries through the filter chain.
+
+use std::{sync::Arc, time::Instant};
+
+use axum::http::{HeaderMap, Method, Uri};
+use bytes::Bytes;
+use peridotslip::{
+    prelude::*,
+    tables::{Index, Matched},
+};
+use uuid::Uuid;
+
+use crate::{
+    answer::{Answer, Head},
+    controllers::{Controllers, ledger::Hold},
+    metrics::Metrics,
+    settings::Settings,
+};
+
+/// What every request of the process shares.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) controllers: Controllers,
+}
+
+/// A request as it arrived, with its body read whole.
+#[derive(Clone, Debug)]
+pub(crate) struct Incoming {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// What a completion request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Completion {
+    pub(crate) stream: bool,
+    pub(crate) max_tokens: u64,
+}
+
+/// What the work cost and became, once it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Usage {
+    pub(crate) tokens: u64,
+    pub(crate) outcome: Outcome,
+}
+
+/// The part of an answer that waits for its bill: all of a whole answer, the
+/// end mark of a streamed one.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldBack {
+    /// The head, if it has not been given yet.
+    pub(crate) head: Option<Head>,
+    pub(crate) part: Bytes,
+}
+
+/// One request's state. Filters fill it in from the front of the chain to its
+/// end; the tables it was matched with stay the same throughout.
+pub(crate) struct Cx {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) id: String,
+    pub(crate) arrived: Instant,
+    pub(crate) incoming: Incoming,
+    pub(crate) answer: Arc<Answer>,
+    pub(crate) index: Arc<Index>,
+    pub(crate) organisation: Option<OrganisationName>,
+    pub(crate) matched: Option<Arc<Matched>>,
+    pub(crate) completion: Option<Completion>,
+    /// The caller's idempotency key.
+    pub(crate) key: Option<RequestKey>,
+    pub(crate) fingerprint: Fingerprint,
+    /// The most tokens that the work can cost.
+    pub(crate) bound: u64,
+    /// Tokens set aside, until they are settled or cancelled.
+    pub(crate) hold: Option<Hold>,
+    /// What the work cost, if a bill is due.
+    pub(crate) usage: Option<Usage>,
+    /// The end of the answer, until its bill is safe.
+    pub(crate) held_back: Option<HeldBack>,
+    /// Whether the caller left before the answer was whole.
+    pub(crate) abandoned: bool,
+}
+
+impl Cx {
+    pub(crate) fn new(shared: Arc<Shared>, index: Arc<Index>, incoming: Incoming) -> Self {
+        let keyed = incoming.headers.contains_key("idempotency-key");
+        Self {
+            shared,
+            id: Uuid::now_v7().simple().to_string(),
+            arrived: Instant::now(),
+            answer: Answer::new(keyed),
+            incoming,
+            index,
+            organisation: None,
+            matched: None,
+            completion: None,
+            key: None,
+            fingerprint: Fingerprint::default(),
+            bound: 0,
+            hold: None,
+            usage: None,
+            held_back: None,
+            abandoned: false,
+        }
+    }
+
+    /// The matched route with its pool and budget.
+    ///
+    /// # Panics
+    ///
+    /// If the route filter has not run; it stands before every user.
+    pub(crate) fn matched(&self) -> &Arc<Matched> {
+        self.matched.as_ref().expect("the route filter runs first")
+    }
+
+    /// The name under which backend servers know the work: the same for each
+    /// retry of a key, so that a server can join or refuse a repeat.
+    pub(crate) fn work_id(&self) -> String {
+        match self.key {
+            Some(key) => key.to_string(),
+            None => self.id.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/controllers.rs
@@ -0,0 +1,23 @@
+//! The controllers of a router's state.
+//!
+//! Each is an actor: a thin shell on decision logic of the library crate,
+//! which it feeds with messages, time and the results of I/O. Handles hide
+//! the messages from the rest of the daemon.
+
+pub(crate) mod backends;
+pub(crate) mod config;
+pub(crate) mod dedupe;
+pub(crate) mod ledger;
+
+use std::sync::Arc;
+
+use tokio::sync::Semaphore;
+
+/// Handles to every controller.
+pub(crate) struct Controllers {
+    pub(crate) config: config::ConfigHandle,
+    pub(crate) ledger: ledger::LedgerHandle,
+    pub(crate) backends: backends::BackendsHandle,
+    pub(crate) dedupe: dedupe::DedupeHandle,
+    pub(crate) open_requests: Arc<Semaphore>,
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/controllers/ledger.rs
@@ -0,0 +1,249 @@
+//! Money in this router: grants, reservations, claims and settlements.
+//!
+//! One actor for each ledger shard holds a [`Wallet`] and exchanges reports
+//! with the shard's record over a [`LedgerPath`]. Exchanges of a shard follow
+//! one another, and what gathers during one goes together in the next.
+
+mod direct;
+mod shard;
+mod writer;
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use kameo::actor::ActorRef;
+use peridotslip::{
+    ledger::{Report, ReportReply},
+    prelude::*,
+    tables::{Budget, Index},
+};
+use quick_error::quick_error;
+use tokio::sync::oneshot;
+
+pub(crate) use self::direct::Direct;
+use self::shard::{
+    Cancel, ClaimKey, Close, Paid, RecallBudget, ReserveTokens, Settle, ShardController,
+};
+use crate::{
+    metrics::Metrics,
+    problem::{self, Refused},
+    settings::LedgerSettings,
+};
+
+/// When to come back if the ledger can't be reached, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+/// When to come back if a budget is used up, in seconds: a top-up is in force
+/// everywhere by then.
+const EXHAUSTED_RETRY_AFTER_S: u64 = 10;
+
+quick_error! {
+    /// Why reports could not be exchanged.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The record can't be read or written now.
+        Unreachable(reason: String) {
+            display("the ledger can't be reached ({reason}); it is tried again")
+        }
+    }
+}
+
+/// The result of an exchange.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// A way to a shard's record.
+#[async_trait]
+pub(crate) trait LedgerPath: Send + Sync {
+    /// Applies reports to the record and returns once the store holds the
+    /// result. The reports may have been applied even if there is an error.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`].
+    async fn exchange(&self, shard: u16, reports: Vec<Report>) -> Result<Vec<ReportReply>>;
+}
+
+/// Tokens set aside for one request. Dropping it frees them.
+pub(crate) struct Hold {
+    shard: ActorRef<ShardController>,
+    incarnation: Incarnation,
+    reservation: Option<Reservation>,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            let cancel = Cancel {
+                incarnation: self.incarnation,
+                reservation,
+            };
+            let _ = self.shard.tell(cancel).try_send();
+        }
+    }
+}
+
+/// A settlement on its way to the store.
+pub(crate) struct Settling {
+    pub(crate) durable: oneshot::Receiver<()>,
+}
+
+/// Handles to all shards.
+#[derive(Clone)]
+pub(crate) struct LedgerHandle {
+    shards: Arc<[ActorRef<ShardController>]>,
+    wait: Duration,
+}
+
+impl LedgerHandle {
+    /// Starts the controllers of all shards.
+    pub(crate) fn spawn(
+        settings: &LedgerSettings,
+        path: &Arc<dyn LedgerPath>,
+        metrics: &Arc<Metrics>,
+    ) -> Self {
+        let shards = (0..settings.shards)
+            .map(|shard| ShardController::spawn(shard, settings, path.clone(), metrics.clone()))
+            .collect();
+        Self {
+            shards,
+            wait: Duration::from_millis(settings.refill_wait_ms),
+        }
+    }
+
+    fn shard(&self, organisation: &OrganisationName) -> &ActorRef<ShardController> {
+        let count = u16::try_from(self.shards.len()).unwrap_or(u16::MAX);
+        &self.shards[usize::from(organisation.shard(count))]
+    }
+
+    /// Sets tokens aside, getting more from the record if need be.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] if the budget is used up or the record can't be reached.
+    pub(crate) async fn reserve(
+        &self,
+        organisation: &OrganisationName,
+        budget: &Budget,
+        tokens: u64,
+    ) -> problem::Result<Hold> {
+        let shard = self.shard(organisation);
+        let (tx, rx) = oneshot::channel();
+        let reserve = ReserveTokens {
+            budget: budget.name.clone(),
+            paid: budget.paid_tokens,
+            tokens,
+            wait: self.wait,
+            tx,
+        };
+        let _ = shard.tell(reserve).await;
+        let unavailable = || unavailable(Refusal::LedgerUnavailable);
+        let (incarnation, reservation) = rx.await.unwrap_or_else(|_| Err(unavailable()))?;
+        Ok(Hold {
+            shard: shard.clone(),
+            incarnation,
+            reservation: Some(reservation),
+        })
+    }
+
+    /// Claims a key, so that nobody else may run it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] if somebody else holds or held it, or if the claim is not
+    /// certain to be recorded.
+    pub(crate) async fn claim(
+        &self,
+        organisation: &OrganisationName,
+        key: RequestKey,
+        fingerprint: Fingerprint,
+    ) -> problem::Result<()> {
+        let (tx, rx) = oneshot::channel();
+        let claim = ClaimKey {
+            key,
+            fingerprint,
+            tx,
+        };
+        let _ = self.shard(organisation).tell(claim).await;
+        let Ok(Ok(Some(verdict))) = tokio::time::timeout(self.wait, rx).await else {
+            return Err(unavailable(Refusal::LedgerUnavailable));
+        };
+        match verdict {
+            ClaimVerdict::Granted => Ok(()),
+            ClaimVerdict::OtherRequest => Err(Refused::not_run(Refusal::KeyReused)),
+            ClaimVerdict::Held | ClaimVerdict::Finished(Outcome::Unknown) => {
+                Err(Refused::unknown(Refusal::OutcomeUnknown))
+            }
+            ClaimVerdict::Finished(Outcome::Ran(_)) => Err(Refused {
+                refusal: Refusal::AlreadyRan,
+                run: Run::Ran,
+                retry_after_s: None,
+            }),
+            ClaimVerdict::Finished(Outcome::NotRun) => Err(unavailable(Refusal::LedgerUnavailable)),
+        }
+    }
+
+    /// Ends a hold with its bill.
+    pub(crate) async fn settle(&self, mut hold: Hold, bill: Bill) -> Settling {
+        let (tx, durable) = oneshot::channel();
+        if let Some(reservation) = hold.reservation.take() {
+            let settle = Settle {
+                incarnation: hold.incarnation,
+                reservation,
+                bill,
+                tx,
+            };
+            let _ = hold.shard.tell(settle).await;
+        }
+        Settling { durable }
+    }
+
+    /// Ends a hold whose claimed work certainly never ran.
+    pub(crate) async fn unclaim(&self, hold: Hold, key: RequestKey) {
+        let bill = Bill {
+            key: Some(key),
+            tokens: 0,
+            outcome: Outcome::NotRun,
+        };
+        self.settle(hold, bill).await;
+    }
+
+    /// Takes in the paid figures of new tables.
+    pub(crate) async fn set_paid(&self, index: &Index) {
+        for budget in &index.tables().pools.budgets {
+            let paid = Paid {
+                budget: budget.name.clone(),
+                paid: budget.paid_tokens,
+            };
+            let _ = self.shard(&budget.organisation).tell(paid).await;
+        }
+    }
+
+    #[expect(dead_code, reason = "the peer listener calls it")]
+    /// Gives back what is idle of a budget that is short elsewhere, and
+    /// returns once the record knows.
+    pub(crate) async fn recall(&self, shard: u16, budget: BudgetName) {
+        let (tx, rx) = oneshot::channel();
+        if let Some(shard) = self.shards.get(usize::from(shard)) {
+            let _ = shard.tell(RecallBudget { budget, tx }).await;
+            let _ = tokio::time::timeout(self.wait, rx).await;
+        }
+    }
+
+    /// Gives everything back for good; `true` if nothing is left in doubt.
+    pub(crate) async fn close(&self, limit: Duration) -> bool {
+        let mut clean = true;
+        for shard in self.shards.iter() {
+            let (tx, rx) = oneshot::channel();
+            let _ = shard.tell(Close { tx }).await;
+            clean &= matches!(tokio::time::timeout(limit, rx).await, Ok(Ok(())));
+        }
+        clean
+    }
+}
+
+fn unavailable(refusal: Refusal) -> Refused {
+    Refused::not_run(refusal).retry_after(RETRY_AFTER_S)
+}
+
+fn exhausted() -> Refused {
+    Refused::not_run(Refusal::BudgetExhausted).retry_after(EXHAUSTED_RETRY_AFTER_S)
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
@@ -0,0 +1,162 @@
+//! Swaps one shard's record in the store, many reports at a time.
+//!
+//! Whatever arrives during one swap goes together in the next, so the store's
+//! writes depend on how long a swap takes and not on how many requests there
+//! are. Applying a report again is harmless, so a swap that lost a race or
+//! whose reply was lost is answered by reading the record and applying the
+//! same reports to it.
+
+use std::sync::Arc;
+
+use peridotslip::{
+    ledger::{Report, ReportReply, ShardRecord},
+    prelude::*,
+};
+use peridotslip_platform::{Error as StoreError, Store};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{Error, Result};
+use crate::{clock, metrics::Metrics};
+
+/// Submissions that go into one swap.
+const MAX_GROUP: usize = 1_024;
+/// Submissions that wait.
+const MAX_WAITING: usize = 4_096;
+/// Swaps tried for one group before its submitters are told to try again.
+const MAX_TRIES: u32 = 16;
+
+struct Submission {
+    reports: Vec<Report>,
+    tx: oneshot::Sender<Result<Vec<ReportReply>>>,
+}
+
+/// A handle to a shard's writing task.
+pub(crate) struct Writer {
+    tx: mpsc::Sender<Submission>,
+}
+
+impl Writer {
+    pub(crate) fn spawn(shard: u16, store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
+        let (tx, rx) = mpsc::channel(MAX_WAITING);
+        let task = Task {
+            key: format!("ledger/{shard}"),
+            store,
+            metrics,
+            known: None,
+        };
+        tokio::spawn(task.run(rx));
+        Self { tx }
+    }
+
+    /// Applies reports; returns once the store holds the result.
+    pub(crate) async fn submit(&self, reports: Vec<Report>) -> Result<Vec<ReportReply>> {
+        let (tx, rx) = oneshot::channel();
+        let gone = || Error::Unreachable("the writer has stopped".to_owned());
+        let submission = Submission { reports, tx };
+        self.tx.send(submission).await.map_err(|_| gone())?;
+        rx.await.unwrap_or_else(|_| Err(gone()))
+    }
+}
+
+struct Task {
+    key: String,
+    store: Arc<dyn Store>,
+    metrics: Arc<Metrics>,
+    /// The record as last read or written, with its version.
+    known: Option<(u64, ShardRecord)>,
+}
+
+impl Task {
+    async fn run(mut self, mut rx: mpsc::Receiver<Submission>) {
+        let mut group = Vec::new();
+        while rx.recv_many(&mut group, MAX_GROUP).await > 0 {
+            match self.write(&group).await {
+                Ok(replies) => {
+                    for (submission, replies) in group.drain(..).zip(replies) {
+                        let _ = submission.tx.send(Ok(replies));
+                    }
+                }
+                Err(err) => {
+                    for submission in group.drain(..) {
+                        let _ = submission.tx.send(Err(err.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes a group and returns the replies by submission.
+    async fn write(&mut self, group: &[Submission]) -> Result<Vec<Vec<ReportReply>>> {
+        for _ in 0..MAX_TRIES {
+            let (version, record) = self.read().await?;
+            let mut next = record.clone();
+            next.expire();
+            let now_ms = clock::unix_ms();
+            let replies = group
+                .iter()
+                .map(|submission| apply(&mut next, &submission.reports, now_ms))
+                .collect();
+            if next.same_content(&record) {
+                return Ok(replies);
+            }
+            self.metrics.store_call("swap");
+            match self.store.swap(&self.key, version, &next.encode()).await {
+                Ok(version) => {
+                    self.note(&next);
+                    self.known = Some((version, next));
+                    return Ok(replies);
+                }
+                Err(StoreError::Conflict(_)) => {
+                    self.metrics.retried(RetryReason::StoreConflict);
+                    self.known = None;
+                }
+                Err(StoreError::ReplyLost(_)) => {
+                    self.metrics.retried(RetryReason::StoreReplyLost);
+                    self.known = None;
+                }
+                Err(err) => return Err(Error::Unreachable(err.to_string())),
+            }
+        }
+        Err(Error::Unreachable("too many races".to_owned()))
+    }
+
+    async fn read(&mut self) -> Result<(u64, ShardRecord)> {
+        if let Some(known) = &self.known {
+            return Ok(known.clone());
+        }
+        self.metrics.store_call("read");
+        let unreachable = |reason: String| Error::Unreachable(reason);
+        let found = self.store.get(&self.key).await;
+        let known = match found.map_err(|err| unreachable(err.to_string()))? {
+            None => (0, ShardRecord::default()),
+            Some(found) => {
+                let record = ShardRecord::decode(&found.value);
+                (
+                    found.version,
+                    record.map_err(|err| unreachable(err.to_string()))?,
+                )
+            }
+        };
+        self.known = Some(known.clone());
+        Ok(known)
+    }
+
+    /// Checks what must never happen.
+    fn note(&self, record: &ShardRecord) {
+        let overspend: u64 = record
+            .accounts()
+            .map(|(_, account)| account.overspend())
+            .sum();
+        if overspend > 0 {
+            log::error!(key = self.key.as_str(), tokens = overspend; "budget overspent");
+            self.metrics.gauges.overspend_tokens.set(overspend);
+        }
+    }
+}
+
+fn apply(record: &mut ShardRecord, reports: &[Report], now_ms: u64) -> Vec<ReportReply> {
+    reports
+        .iter()
+        .map(|report| record.apply(report, now_ms))
+        .collect()
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/filters.rs
@@ -0,0 +1,133 @@
+//! The filter chain that a request goes through.
+//!
+//! Each [`Filter`] does its part, calls the rest of the chain and sees how it
+//! went, so what it took it can give back in the same place. The order is
+//! authenticate, route, de-duplicate, admit, reserve, settle, dispatch: settle
+//! stands around dispatch, because it holds the end of the answer back until
+//! the bill is safe.
+
+mod admit;
+mod authenticate;
+mod dedupe;
+mod dispatch;
+mod reserve;
+mod route;
+mod settle;
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+
+use crate::{
+    context::Cx,
+    problem::{Refused, Result},
+};
+
+/// One part of answering a request.
+#[async_trait]
+pub(crate) trait Filter: Send + Sync {
+    /// Answers `cx`, usually by calling `next`.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] if there is no whole answer.
+    async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()>;
+}
+
+/// The rest of a chain.
+#[derive(Clone, Copy)]
+pub(crate) struct Next<'a> {
+    rest: &'a [Box<dyn Filter>],
+}
+
+impl Next<'_> {
+    /// Calls the next filter, if there is one.
+    pub(crate) async fn call(self, cx: &mut Cx) -> Result<()> {
+        match self.rest.split_first() {
+            Some((filter, rest)) => filter.call(cx, Next { rest }).await,
+            None => Ok(()),
+        }
+    }
+}
+
+/// Checks the caller's key alone, before the body is read.
+pub(crate) fn check_key(cx: &Cx) -> Result<()> {
+    authenticate::organisation(cx).map(|_| ())
+}
+
+/// All filters in their order.
+pub(crate) struct Chain {
+    filters: Vec<Box<dyn Filter>>,
+}
+
+impl Chain {
+    /// The chain of the daemon.
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            filters: vec![
+                Box::new(authenticate::Authenticate),
+                Box::new(route::Route),
+                Box::new(dedupe::Deduplicate),
+                Box::new(admit::Admit),
+                Box::new(reserve::Reserve),
+                Box::new(settle::Settle),
+                Box::new(dispatch::Dispatch),
+            ],
+        })
+    }
+
+    /// Runs a request to its end and ends its answer.
+    pub(crate) async fn run(&self, cx: &mut Cx) {
+        let next = Next {
+            rest: &self.filters,
+        };
+        let result = next.call(cx).await;
+        finish(cx, result);
+    }
+}
+
+fn finish(cx: &Cx, result: Result<()>) {
+    let metrics = &cx.shared.metrics;
+    let outcome = match &result {
+        Ok(()) if cx.abandoned => "abandoned",
+        Ok(()) => "answered",
+        Err(_) if cx.answer.has_head() => "broken",
+        Err(_) => "refused",
+    };
+    if let Some(matched) = &cx.matched {
+        metrics.answered(&matched.pool, outcome);
+    }
+    if let Err(refused) = &result {
+        metrics.refused(refused.refusal);
+    }
+    log_request(cx, outcome, result.as_ref().err());
+    match result {
+        Ok(()) => cx.answer.end(true),
+        Err(_) if cx.answer.has_head() => cx.answer.end(false),
+        Err(refused) => cx.answer.set_head(Err(refused)),
+    }
+}
+
+fn log_request(cx: &Cx, outcome: &str, refused: Option<&Refused>) {
+    let organisation = cx.organisation.as_ref().map_or("", |name| name.as_str());
+    let pool = cx
+        .matched
+        .as_ref()
+        .map_or("", |matched| matched.pool.as_str());
+    let reason = refused.map_or("", |refused| refused.refusal.as_str());
+    let run = refused.map_or("", |refused| refused.run.as_str());
+    let tokens = cx.usage.map_or(0, |usage| usage.tokens);
+    let elapsed_ms = u64::try_from(cx.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+    log::info!(
+        request = cx.id.as_str(),
+        organisation = organisation,
+        pool = pool,
+        revision = cx.index.revision().value(),
+        outcome = outcome,
+        reason = reason,
+        run = run,
+        tokens = tokens,
+        elapsed_ms = elapsed_ms;
+        "request"
+    );
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/filters/authenticate.rs
@@ -0,0 +1,37 @@
+//! Finds the caller's organisation by its key, before anything else is looked
+//! at.
+
+use async_trait::async_trait;
+use axum::http::header::AUTHORIZATION;
+use peridotslip::prelude::*;
+
+use super::{Filter, Next};
+use crate::{
+    context::Cx,
+    problem::{Refused, Result},
+};
+
+pub(super) struct Authenticate;
+
+#[async_trait]
+impl Filter for Authenticate {
+    async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
+        cx.organisation = Some(organisation(cx)?);
+        next.call(cx).await
+    }
+}
+
+/// The organisation of the caller's key.
+pub(super) fn organisation(cx: &Cx) -> Result<OrganisationName> {
+    let value = cx.incoming.headers.get(AUTHORIZATION);
+    let key = value.and_then(|value| value.to_str().ok()).and_then(bearer);
+    key.and_then(|key| cx.index.organisation(key))
+        .cloned()
+        .ok_or_else(|| Refused::not_run(Refusal::Unauthenticated))
+}
+
+/// The key of a `Bearer` credential; the scheme's case doesn't matter.
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -0,0 +1,232 @@
+//! Answers that are passed on as they come.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use peridotslip::{balance::Finish, prelude::*};
+use reqwest::Response;
+
+use super::Tried;
+use crate::{
+    answer::Head,
+    backend::{
+        forward,
+        sse::{self, Kind, Splitter},
+    },
+    context::{Cx, HeldBack, Usage},
+    controllers::backends::Chosen,
+    problem::{Refused, Result},
+};
+
+/// Resumes tried before a stream is given up.
+const MAX_RESUMES: u32 = 5;
+/// Pause before each further resume, in milliseconds.
+const RESUME_PAUSE_MS: u64 = 100;
+/// Longest wait for an engine to take a cancellation, in milliseconds.
+const CANCEL_TIMEOUT_MS: u64 = 2_000;
+
+/// Why reading a connection ended.
+enum Ended {
+    /// The end mark came.
+    Done,
+    /// The connection broke or ended early.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+    /// The caller left.
+    Abandoned,
+    /// The engine went past its order.
+    Overrun,
+}
+
+/// What has been seen of a stream.
+#[derive(Default)]
+struct Seen {
+    /// Events that are part of the answer.
+    parts: u64,
+    usage: Option<u64>,
+}
+
+/// Passes a stream on, resuming it at its engine if the connection breaks or
+/// goes silent.
+pub(super) async fn pass(cx: &mut Cx, chosen: Chosen, first: Response) -> Result<Tried> {
+    let head = Head {
+        status: first.status(),
+        headers: forward::answer_headers(first.headers()),
+    };
+    cx.shared.metrics.first_byte(cx.arrived.elapsed());
+    cx.answer.set_head(Ok(head));
+    let mut seen = Seen::default();
+    let mut connection = Some(first);
+    let mut resumes = 0;
+    loop {
+        let ended = match connection.take() {
+            Some(response) => read(cx, response, &mut seen).await,
+            None => Ended::Broken,
+        };
+        let reason = match ended {
+            Ended::Done => return Ok(done(cx, chosen, &seen)),
+            Ended::Abandoned => return cancel(cx, chosen).await,
+            Ended::Overrun => return overrun(cx, chosen),
+            Ended::Broken => RetryReason::StreamResumed,
+            Ended::Silent => RetryReason::StreamSilent,
+        };
+        if resumes == MAX_RESUMES {
+            return give_up(cx, chosen);
+        }
+        tokio::time::sleep(Duration::from_millis(RESUME_PAUSE_MS * u64::from(resumes))).await;
+        resumes += 1;
+        cx.shared.metrics.retried(reason);
+        connection = resume(cx, &chosen.server, seen.parts).await;
+    }
+}
+
+/// Reads one connection to its end.
+async fn read(cx: &Cx, response: Response, seen: &mut Seen) -> Ended {
+    let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
+    let max_parts = cx.completion.map_or(u64::MAX, |asked| {
+        // An engine may send a first part for the role and a last one for
+        // the reason it stopped.
+        asked.max_tokens + 2
+    });
+    let mut splitter = Splitter::default();
+    let mut stream = response.bytes_stream();
+    let keyed = cx.key.is_some();
+    loop {
+        let bytes = tokio::select! {
+            next = tokio::time::timeout(silence, stream.next()) => match next {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(_) => return Ended::Broken,
+                Err(_) => return Ended::Silent,
+            },
+            () = cx.answer.abandoned(Duration::ZERO), if !keyed => return Ended::Abandoned,
+        };
+        if splitter.push(&bytes).is_err() {
+            return Ended::Broken;
+        }
+        let (part, done) = take_events(&mut splitter, seen);
+        if seen.parts > max_parts {
+            return Ended::Overrun;
+        }
+        if !part.is_empty() {
+            cx.answer.push(part).await;
+        }
+        if done {
+            return Ended::Done;
+        }
+    }
+}
+
+/// Takes the whole events, without the end mark, as one part.
+fn take_events(splitter: &mut Splitter, seen: &mut Seen) -> (Bytes, bool) {
+    let mut events: Vec<Bytes> = Vec::new();
+    let mut done = false;
+    while let Some(event) = splitter.next() {
+        match sse::kind(&event) {
+            Kind::Done => {
+                done = true;
+                break;
+            }
+            // A resumed stream repeats the usage if it broke after it.
+            Kind::Usage(_) if seen.usage.is_some() => continue,
+            Kind::Usage(tokens) => seen.usage = Some(tokens),
+            Kind::Part => seen.parts += 1,
+            Kind::Comment => {}
+        }
+        events.push(event);
+    }
+    if events.len() == 1 {
+        return (events.swap_remove(0), done);
+    }
+    let mut buf = BytesMut::with_capacity(events.iter().map(Bytes::len).sum());
+    for event in &events {
+        buf.extend_from_slice(event);
+    }
+    (buf.freeze(), done)
+}
+
+fn done(cx: &mut Cx, chosen: Chosen, seen: &Seen) -> Tried {
+    chosen.finish(Finish::Answered);
+    let tokens = seen.usage.unwrap_or_else(|| bound_of(cx, seen.parts));
+    cx.usage = Some(Usage {
+        tokens,
+        outcome: Outcome::Ran(200),
+    });
+    cx.held_back = Some(HeldBack {
+        head: None,
+        part: Bytes::from_static(b"data: [DONE]\n\n"),
+    });
+    Tried::Answered
+}
+
+/// The most that an answer of so many parts can have cost.
+fn bound_of(cx: &Cx, parts: u64) -> u64 {
+    let max_tokens = cx.completion.map_or(0, |asked| asked.max_tokens);
+    cx.bound - max_tokens + parts.min(max_tokens)
+}
+
+fn overrun(cx: &mut Cx, chosen: Chosen) -> Result<Tried> {
+    cx.shared.metrics.event("engine-overrun", 1);
+    cancel_in_background(cx, &chosen.server);
+    chosen.finish(Finish::Failed);
+    Err(Refused::unknown(Refusal::BackendFailed))
+}
+
+/// The caller has part of an answer that can't be continued: it must see it
+/// break, and pays nothing.
+fn give_up(cx: &Cx, chosen: Chosen) -> Result<Tried> {
+    cancel_in_background(cx, &chosen.server);
+    chosen.finish(Finish::Failed);
+    Err(Refused::unknown(Refusal::BackendFailed))
+}
+
+async fn resume(cx: &Cx, server: &str, from: u64) -> Option<Response> {
+    let url = format!("http://{server}/v1/streams/{}?from={from}", cx.work_id());
+    let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
+    let client = cx.shared.controllers.backends.fresh_client();
+    let response = tokio::time::timeout(silence, client.get(url).send()).await;
+    let response = response.ok()?.ok()?;
+    response.status().is_success().then_some(response)
+}
+
+/// Cancels the work of a caller that left, and bills what ran.
+pub(super) async fn cancel(cx: &mut Cx, chosen: Chosen) -> Result<Tried> {
+    cx.abandoned = true;
+    let client = cx.shared.controllers.backends.fresh_client();
+    let tokens = match cx.completion {
+        Some(_) => cancel_at(&client, &chosen.server, &cx.work_id()).await,
+        None => Some(cx.matched().route.tokens_per_call),
+    };
+    if tokens.is_none() {
+        cx.shared.metrics.event("cancel-unanswered", 1);
+    }
+    chosen.finish(Finish::Neutral);
+    // Without the engine's word, the bill is what the work can have cost.
+    cx.usage = Some(Usage {
+        tokens: tokens.unwrap_or(cx.bound),
+        outcome: Outcome::Ran(200),
+    });
+    Ok(Tried::Answered)
+}
+
+/// Cancels work whose cost nobody will be billed for.
+pub(super) fn cancel_in_background(cx: &Cx, server: &str) {
+    if cx.completion.is_none() {
+        return;
+    }
+    let client = cx.shared.controllers.backends.fresh_client();
+    let (server, id) = (server.to_owned(), cx.work_id());
+    tokio::spawn(async move { cancel_at(&client, &server, &id).await });
+}
+
+/// Cancels work at an engine; the tokens it had cost, if the engine tells.
+async fn cancel_at(client: &reqwest::Client, server: &str, id: &str) -> Option<u64> {
+    let url = format!("http://{server}/v1/streams/{id}");
+    let timeout = Duration::from_millis(CANCEL_TIMEOUT_MS);
+    let response = client.delete(url).timeout(timeout).send().await.ok()?;
+    if response.status() == reqwest::StatusCode::NOT_FOUND {
+        return Some(0);
+    }
+    sse::total_tokens(&response.bytes().await.ok()?)
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/filters/route.rs
@@ -0,0 +1,120 @@
+//! Matches the request with a row of the routes table and checks its body.
+
+use async_trait::async_trait;
+use axum::http::{HeaderMap, Method};
+use peridotslip::prelude::*;
+use serde::Deserialize;
+
+use super::{Filter, Next};
+use crate::{
+    context::{Completion, Cx},
+    problem::{Refused, Result},
+};
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+/// Tokens that an engine may add to a prompt for its chat template, for each
+/// message.
+const TEMPLATE_TOKENS_PER_MESSAGE: u64 = 16;
+
+/// The paths on which model pools are served.
+pub(crate) const COMPLETION_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+pub(super) struct Route;
+
+/// What the router reads of a completion request.
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default = "one")]
+    n: u64,
+    #[serde(default)]
+    messages: Vec<serde::de::IgnoredAny>,
+}
+
+fn one() -> u64 {
+    1
+}
+
+#[async_trait]
+impl Filter for Route {
+    async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
+        let path = cx.incoming.uri.path();
+        let completion = COMPLETION_PATHS.contains(&path) && cx.incoming.method == Method::POST;
+        if completion {
+            match_completion(cx)?;
+        } else {
+            match_service(cx)?;
+        }
+        let path = cx
+            .incoming
+            .uri
+            .path_and_query()
+            .map_or("", |path| path.as_str());
+        cx.fingerprint = Fingerprint::new(cx.incoming.method.as_str(), path, &cx.incoming.body);
+        cx.key = key(&cx.incoming.headers, cx.organisation.as_ref())?;
+        if !cx.matched().route.idempotent && cx.key.is_none() {
+            return Err(Refused::not_run(Refusal::KeyRequired));
+        }
+        next.call(cx).await
+    }
+}
+
+fn match_completion(cx: &mut Cx) -> Result<()> {
+    let body: Body = serde_json::from_slice(&cx.incoming.body)
+        .map_err(|_| Refused::not_run(Refusal::MalformedBody))?;
+    let organisation = cx.organisation.as_ref();
+    let matched = organisation
+        .and_then(|organisation| cx.index.match_model(organisation, &body.model))
+        .filter(|matched| matched.budget.firm == cx.shared.settings.firm)
+        .ok_or_else(|| Refused::not_run(Refusal::NoRoute))?
+        .clone();
+    let max_tokens = body
+        .max_completion_tokens
+        .or(body.max_tokens)
+        .filter(|tokens| (1..=matched.route.max_tokens).contains(tokens))
+        .ok_or_else(|| Refused::not_run(Refusal::MaxTokens))?;
+    if body.n != 1 {
+        return Err(Refused::not_run(Refusal::MalformedBody));
+    }
+    let template = TEMPLATE_TOKENS_PER_MESSAGE * (1 + body.messages.len() as u64);
+    // A token stands for at least one byte of the prompt.
+    cx.bound = cx.incoming.body.len() as u64 + template + max_tokens;
+    cx.completion = Some(Completion {
+        stream: body.stream,
+        max_tokens,
+    });
+    cx.matched = Some(matched);
+    Ok(())
+}
+
+fn match_service(cx: &mut Cx) -> Result<()> {
+    let (method, path) = (cx.incoming.method.as_str(), cx.incoming.uri.path());
+    let organisation = cx.organisation.as_ref();
+    let matched = organisation
+        .and_then(|organisation| cx.index.match_path(organisation, method, path))
+        .filter(|matched| matched.budget.firm == cx.shared.settings.firm)
+        .ok_or_else(|| Refused::not_run(Refusal::NoRoute))?
+        .clone();
+    cx.bound = matched.route.tokens_per_call;
+    cx.matched = Some(matched);
+    Ok(())
+}
+
+fn key(headers: &HeaderMap, organisation: Option<&OrganisationName>) -> Result<Option<RequestKey>> {
+    let (Some(value), Some(organisation)) = (headers.get("idempotency-key"), organisation) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let usable = (1..=MAX_KEY_BYTES).contains(&text.len())
+        && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if usable {
+        Ok(Some(RequestKey::new(organisation, text)))
+    } else {
+        Err(Refused::not_run(Refusal::KeyMalformed))
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/filters/settle.rs
@@ -0,0 +1,59 @@
+//! Bills the request, and holds the end of its answer back until the bill
+//! can't be lost.
+
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use peridotslip::prelude::*;
+
+use super::{Filter, Next};
+use crate::{
+    context::{Cx, HeldBack},
+    controllers::ledger::Settling,
+    problem::Result,
+};
+
+/// Longest wait for a bill to be safe, in milliseconds. After it the answer
+/// is released all the same, since its work has been done, and counted.
+const MAX_WAIT_MS: u64 = 2_000;
+
+pub(super) struct Settle;
+
+#[async_trait]
+impl Filter for Settle {
+    async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
+        let result = next.call(cx).await;
+        let (Some(usage), Some(hold)) = (cx.usage, cx.hold.take()) else {
+            return result;
+        };
+        let bill = Bill {
+            key: cx.key,
+            tokens: usage.tokens,
+            outcome: usage.outcome,
+        };
+        let settling = cx.shared.controllers.ledger.settle(hold, bill).await;
+        cx.shared.metrics.billed(&cx.matched().pool, usage.tokens);
+        if result.is_ok() && !cx.abandoned {
+            wait_until_safe(cx, settling).await;
+        }
+        if let Some(HeldBack { head, part }) = cx.held_back.take() {
+            if let Some(head) = head {
+                cx.shared.metrics.first_byte(cx.arrived.elapsed());
+                cx.answer.set_head(Ok(head));
+            }
+            cx.answer.push(part).await;
+        }
+        result
+    }
+}
+
+async fn wait_until_safe(cx: &Cx, settling: Settling) {
+    let metrics = &cx.shared.metrics;
+    let since = Instant::now();
+    let limit = Duration::from_millis(MAX_WAIT_MS);
+    if tokio::time::timeout(limit, settling.durable).await.is_err() {
+        metrics.event("answer-released-before-bill-was-safe", 1);
+        log::warn!(request = cx.id.as_str(); "answer released before its bill was safe");
+    }
+    metrics.settle_wait(since.elapsed());
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/main.rs
@@ -0,0 +1,72 @@
+//! `peridotslipd`: the router daemon, one process per entry VM.
+
+mod answer;
+mod backend;
+mod clock;
+mod context;
+mod controllers;
+mod filters;
+mod logging;
+mod metrics;
+mod problem;
+mod server;
+mod settings;
+mod start;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+
+use crate::settings::Settings;
+
+/// Exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// The peridotslip router daemon.
+///
+/// Exit codes: 0 after a graceful shutdown or a check that passed, 1 if it
+/// could not run, 2 if the settings can't be used.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Run with these settings
+    #[bpaf(external)]
+    mode: Mode,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Mode {
+    Run {
+        /// Settings file (YAML) to run with
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    Check {
+        /// Settings file (YAML) to check, without running
+        #[bpaf(argument("FILE"))]
+        check: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let mode = options().run().mode;
+    let (Mode::Run { settings: file } | Mode::Check { check: file }) = &mode;
+    let settings = match Settings::load(file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("peridotslipd: {err}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches!(mode, Mode::Check { .. }) {
+        println!("{}: usable", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match start::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("peridotslipd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -0,0 +1,352 @@
+//! The daemon's settings: a YAML file, checked whole at start.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use quick_error::quick_error;
+use serde::Deserialize;
+
+quick_error! {
+    /// Why settings can't be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The file can't be read.
+        Read(file: PathBuf, err: std::io::Error) {
+            display("{}: {err}; name a readable file with --settings", file.display())
+        }
+        /// The file is not YAML, or a field is unknown, missing or of the
+        /// wrong type.
+        Parse(file: PathBuf, err: String) {
+            display("{}: {err}; see docs/OPERATORS.md for the fields", file.display())
+        }
+        /// A field's value is out of range.
+        Field(file: PathBuf, line: usize, field: &'static str, remedy: &'static str) {
+            display("{}: line {line}: field `{field}`: {remedy}", file.display())
+        }
+    }
+}
+
+/// The result of reading settings.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Everything that a router process is told at start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Settings {
+    /// The firm whose requests this router answers.
+    pub(crate) firm: String,
+    /// This VM's name, for logs and `members`.
+    pub(crate) vm: String,
+    /// The data centre that this VM is in.
+    pub(crate) data_centre: String,
+    pub(crate) listen: Listen,
+    pub(crate) store: StoreSettings,
+    #[serde(default)]
+    pub(crate) vm_list: Option<VmListSettings>,
+    #[expect(dead_code, reason = "the membership controller reads it")]
+    /// Peer addresses to begin with, where there is no VM list.
+    #[serde(default)]
+    pub(crate) peers: Vec<SocketAddr>,
+    #[serde(default)]
+    pub(crate) ledger: LedgerSettings,
+    #[serde(default)]
+    pub(crate) limits: Limits,
+    #[serde(default)]
+    pub(crate) backends: BackendSettings,
+    #[serde(default)]
+    pub(crate) shutdown: ShutdownSettings,
+    #[serde(default)]
+    pub(crate) log: LogSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Listen {
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct StoreSettings {
+    pub(crate) address: SocketAddr,
+    #[serde(default = "default_store_timeout_ms")]
+    pub(crate) timeout_ms: u64,
+}
+
+fn default_store_timeout_ms() -> u64 {
+    1_000
+}
+
+/// The platform's VM list.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct VmListSettings {
+    pub(crate) address: SocketAddr,
+    #[serde(default = "default_vm_poll_ms")]
+    pub(crate) poll_ms: u64,
+}
+
+fn default_vm_poll_ms() -> u64 {
+    1_000
+}
+
+/// Money.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct LedgerSettings {
+    /// Ledger shards; the same for the whole fleet, for good.
+    pub(crate) shards: u16,
+    /// Shortest time between two exchanges of a shard, in milliseconds.
+    pub(crate) group_ms: u64,
+    /// Longest wait of a request for tokens, in milliseconds.
+    pub(crate) refill_wait_ms: u64,
+    /// How long the grants of a router that the platform no longer lists are
+    /// held back, in seconds. The firm's choice between tokens held idle and
+    /// tokens that a late bill may want.
+    pub(crate) in_doubt_hold_s: u64,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            shards: 16,
+            group_ms: 10,
+            refill_wait_ms: 1_500,
+            in_doubt_hold_s: 10,
+        }
+    }
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct Limits {
+    pub(crate) max_header_bytes: usize,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) max_answer_bytes: usize,
+    pub(crate) header_timeout_ms: u64,
+    pub(crate) body_timeout_ms: u64,
+    /// Requests open at once in this router.
+    pub(crate) max_open_requests: usize,
+    /// Bytes of finished answers kept for replay.
+    pub(crate) replay_bytes: usize,
+    /// How long a finished answer is kept for replay, in milliseconds.
+    pub(crate) replay_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 32 * 1024,
+            max_body_bytes: 2 * 1024 * 1024,
+            max_answer_bytes: 8 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
+            max_open_requests: 4_096,
+            replay_bytes: 24 * 1024 * 1024,
+            replay_ms: 15 * 60 * 1_000,
+        }
+    }
+}
+
+/// Dealings with backend servers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct BackendSettings {
+    pub(crate) connect_timeout_ms: u64,
+    /// Longest silence within a stream, in milliseconds.
+    pub(crate) silence_timeout_ms: u64,
+    /// Time between two load reports, in milliseconds.
+    pub(crate) load_poll_ms: u64,
+    /// `round-robin`, `least-loaded` or `two-choices`.
+    pub(crate) policy: String,
+}
+
+impl Default for BackendSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 500,
+            silence_timeout_ms: 5_000,
+            load_poll_ms: 500,
+            policy: "two-choices".to_owned(),
+        }
+    }
+}
+
+/// The planned stop.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct ShutdownSettings {
+    /// How long requests are still taken after readiness went off, so that
+    /// the balancer can notice, in milliseconds.
+    pub(crate) grace_ms: u64,
+    /// Longest wait for running requests, in seconds.
+    pub(crate) limit_s: u64,
+}
+
+impl Default for ShutdownSettings {
+    fn default() -> Self {
+        Self {
+            grace_ms: 1_000,
+            limit_s: 600,
+        }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct LogSettings {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub(crate) level: log::LevelFilter,
+    /// File to append to; standard error if there is none.
+    pub(crate) file: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+            file: None,
+        }
+    }
+}
+
+/// A rule on one field: its path, whether it holds, and the remedy.
+type Rule = (&'static str, bool, &'static str);
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] with file, line and field of the first thing wrong.
+    pub(crate) fn load(file: &Path) -> Result<Self> {
+        let text =
+            std::fs::read_to_string(file).map_err(|err| Error::Read(file.to_owned(), err))?;
+        Self::parse(&text, file)
+    }
+
+    pub(crate) fn parse(text: &str, file: &Path) -> Result<Self> {
+        let settings: Self = serde_saphyr::from_str(text)
+            .map_err(|err| Error::Parse(file.to_owned(), err.to_string()))?;
+        match settings.rules().into_iter().find(|(_, holds, _)| !holds) {
+            None => Ok(settings),
+            Some((field, _, remedy)) => {
+                let line = line_of(text, field);
+                Err(Error::Field(file.to_owned(), line, field, remedy))
+            }
+        }
+    }
+
+    fn rules(&self) -> Vec<Rule> {
+        let positive = "give a number above 0";
+        let listen = &self.listen;
+        let policy = crate::backend::policy(&self.backends.policy).is_some();
+        vec![
+            ("firm", !self.firm.is_empty(), "name the firm"),
+            ("vm", !self.vm.is_empty(), "name this VM"),
+            (
+                "data_centre",
+                !self.data_centre.is_empty(),
+                "name the data centre",
+            ),
+            (
+                "listen.operators",
+                listen.operators != listen.callers,
+                "use another address than for callers",
+            ),
+            (
+                "listen.peers",
+                listen.peers != listen.callers && listen.peers != listen.operators,
+                "use another address than for callers and operators",
+            ),
+            (
+                "listen.peers",
+                !listen.peers.ip().is_unspecified(),
+                "name the IP by which peers reach this VM",
+            ),
+            ("store.timeout_ms", self.store.timeout_ms > 0, positive),
+            ("ledger.shards", self.ledger.shards > 0, positive),
+            (
+                "ledger.refill_wait_ms",
+                self.ledger.refill_wait_ms > 0,
+                positive,
+            ),
+            (
+                "limits.max_header_bytes",
+                self.limits.max_header_bytes >= 8_192,
+                "give at least 8192",
+            ),
+            (
+                "limits.max_body_bytes",
+                self.limits.max_body_bytes > 0,
+                positive,
+            ),
+            (
+                "limits.max_answer_bytes",
+                self.limits.max_answer_bytes > 0,
+                positive,
+            ),
+            (
+                "limits.header_timeout_ms",
+                self.limits.header_timeout_ms > 0,
+                positive,
+            ),
+            (
+                "limits.body_timeout_ms",
+                self.limits.body_timeout_ms > 0,
+                positive,
+            ),
+            (
+                "limits.max_open_requests",
+                self.limits.max_open_requests > 0,
+                positive,
+            ),
+            (
+                "backends.connect_timeout_ms",
+                self.backends.connect_timeout_ms > 0,
+                positive,
+            ),
+            (
+                "backends.silence_timeout_ms",
+                self.backends.silence_timeout_ms > 0,
+                positive,
+            ),
+            (
+                "backends.load_poll_ms",
+                self.backends.load_poll_ms > 0,
+                positive,
+            ),
+            (
+                "backends.policy",
+                policy,
+                "use `round-robin`, `least-loaded` or `two-choices`",
+            ),
+        ]
+    }
+}
+
+/// The line on which a dotted field stands, or its section's, or 1.
+fn line_of(text: &str, field: &str) -> usize {
+    let mut line = 1;
+    let mut lines = text.lines().enumerate();
+    for (depth, part) in field.split('.').enumerate() {
+        let found = lines.find(|(_, content)| {
+            let indented = content.starts_with(' ');
+            let names = content.trim_start().strip_prefix(part);
+            names.is_some_and(|rest| rest.trim_start().starts_with(':')) && indented == (depth > 0)
+        });
+        match found {
+            Some((number, _)) => line = number + 1,
+            None => break,
+        }
+    }
+    line
+}
--- /dev/null
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -0,0 +1,152 @@
+//! Starting a router and stopping it gracefully.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use peridotslip_platform::{HttpStore, HttpVmList, Store, VmList};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{Semaphore, watch},
+};
+
+use crate::{
+    context::Shared,
+    controllers::{
+        Controllers,
+        backends::BackendsHandle,
+        config::{self, ConfigHandle},
+        dedupe::DedupeHandle,
+        ledger::{Direct, LedgerHandle, LedgerPath},
+    },
+    filters::Chain,
+    logging,
+    metrics::Metrics,
+    server::{self, Callers, Stopping},
+    settings::Settings,
+};
+
+/// Why the router could not run.
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// Longest wait for the last reports at a planned stop.
+const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Runs a router until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// An error if an address can't be listened on or a client can't be made.
+pub(crate) fn run(settings: Settings) -> Result<(), Error> {
+    logging::start(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run_async(settings))
+}
+
+async fn run_async(settings: Settings) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let metrics = Arc::new(Metrics::open()?);
+    let store: Arc<dyn Store> = Arc::new(HttpStore::open(
+        &settings.store.address.to_string(),
+        Duration::from_millis(settings.store.timeout_ms),
+    )?);
+    let controllers = spawn_controllers(&settings, &store, &metrics)?;
+    let shared = Arc::new(Shared {
+        settings,
+        metrics,
+        controllers,
+    });
+    spawn_feeds(&shared, store)?;
+    let stopping = Arc::new(Stopping::default());
+    let listen = shared.settings.listen.clone();
+    let listener = TcpListener::bind(listen.callers).await?;
+    server::serve_operators(listen.operators, shared.clone(), stopping.clone()).await?;
+    let (stop_tx, stop_rx) = watch::channel(false);
+    let callers = Callers {
+        shared: shared.clone(),
+        chain: Chain::new(),
+        stopping: stopping.clone(),
+    };
+    let serving = tokio::spawn(server::serve_callers(listener, callers, stop_rx));
+    log::info!(vm = shared.settings.vm.as_str(); "router started");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    log::info!("planned stop: readiness is off");
+    stopping.announced.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(shared.settings.shutdown.grace_ms)).await;
+    stop_tx.send_replace(true);
+    let limit = Duration::from_secs(shared.settings.shutdown.limit_s);
+    if tokio::time::timeout(limit, serving).await.is_err() {
+        log::error!("requests are still open at the limit of the planned stop");
+    }
+    wait_for_requests(&shared, limit).await;
+    if shared.controllers.ledger.close(CLOSE_LIMIT).await {
+        log::info!("stopped; every grant is given back");
+    } else {
+        log::error!("stopped; some grants could not be given back and are in doubt");
+    }
+    Ok(())
+}
+
+/// Waits for requests that go on without their callers.
+async fn wait_for_requests(shared: &Shared, limit: Duration) {
+    let permits = u32::try_from(shared.settings.limits.max_open_requests).unwrap_or(u32::MAX);
+    let all = shared.controllers.open_requests.acquire_many(permits);
+    let _ = tokio::time::timeout(limit, all).await;
+}
+
+fn spawn_controllers(
+    settings: &Settings,
+    store: &Arc<dyn Store>,
+    metrics: &Arc<Metrics>,
+) -> Result<Controllers, Error> {
+    let limits = &settings.limits;
+    let path: Arc<dyn LedgerPath> = Arc::new(Direct::spawn(settings.ledger.shards, store, metrics));
+    Ok(Controllers {
+        config: ConfigHandle::spawn(metrics.clone()),
+        ledger: LedgerHandle::spawn(&settings.ledger, &path, metrics),
+        backends: BackendsHandle::spawn(&settings.backends, metrics.clone())?,
+        dedupe: DedupeHandle::open(limits.replay_bytes, limits.replay_ms, metrics.clone()),
+        open_requests: Arc::new(Semaphore::new(limits.max_open_requests)),
+    })
+}
+
+/// Starts the tasks that feed the controllers from outside.
+fn spawn_feeds(shared: &Arc<Shared>, store: Arc<dyn Store>) -> Result<(), Error> {
+    let config = shared.controllers.config.clone();
+    tokio::spawn(config::watch_store(store, config, shared.metrics.clone()));
+    tokio::spawn(follow_tables(shared.clone()));
+    if let Some(settings) = &shared.settings.vm_list {
+        let every = Duration::from_millis(settings.poll_ms);
+        let list = HttpVmList::open(&settings.address.to_string(), every)?;
+        tokio::spawn(follow_vms(shared.clone(), list, every));
+    }
+    Ok(())
+}
+
+/// Tells the other controllers of each change of the tables.
+async fn follow_tables(shared: Arc<Shared>) {
+    let mut held = shared.controllers.config.subscribe();
+    while held.changed().await.is_ok() {
+        let index = held.borrow_and_update().index.clone();
+        shared.controllers.backends.set_table(index.clone()).await;
+        shared.controllers.ledger.set_paid(&index).await;
+    }
+}
+
+/// Tells the backends' controller what the platform lists.
+async fn follow_vms(shared: Arc<Shared>, list: impl VmList, every: Duration) {
+    loop {
+        match list.list().await {
+            Ok(vms) => shared.controllers.backends.set_list(vms).await,
+            Err(err) => log::debug!("the VM list can't be read: {err}"),
+        }
+        tokio::time::sleep(every).await;
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-platform/src/http_store.rs
@@ -0,0 +1,115 @@
+//! A client for the store over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use reqwest::{Client, Response, StatusCode};
+
+use crate::store::{Error, Result, Store, Versioned};
+
+/// Longest time to open a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Header that carries a key's version.
+const VERSION_HEADER: &str = "x-version";
+
+/// The platform's store at one address.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    client: Client,
+    base: String,
+    timeout: Duration,
+}
+
+impl HttpStore {
+    /// A client for the store at `address` (`IP:port`), which gives up on a
+    /// call after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] if no HTTP client can be made.
+    pub fn open(address: &str, timeout: Duration) -> Result<Self> {
+        let client = Client::builder()
+            .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+            .no_proxy()
+            .build()
+            .map_err(|err| Error::Unavailable(err.to_string()))?;
+        Ok(Self {
+            client,
+            base: format!("http://{address}/kv/"),
+            timeout,
+        })
+    }
+
+    fn url(&self, key: &str) -> String {
+        format!("{}{key}", self.base)
+    }
+
+    async fn read(&self, url: String, timeout: Duration) -> Result<Option<Versioned>> {
+        let unavailable = |err: reqwest::Error| Error::Unavailable(err.without_url().to_string());
+        let reply = self
+            .client
+            .get(url)
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(unavailable)?;
+        match reply.status() {
+            StatusCode::OK => {
+                let version = version_of(&reply)
+                    .ok_or_else(|| Error::Unavailable("no version in the reply".to_owned()))?;
+                let value = reply.bytes().await.map_err(unavailable)?.to_vec();
+                Ok(Some(Versioned { version, value }))
+            }
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+}
+
+fn version_of(reply: &Response) -> Option<u64> {
+    let text = reply.headers().get(VERSION_HEADER)?.to_str().ok()?;
+    text.parse().ok()
+}
+
+#[async_trait]
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>> {
+        self.read(self.url(key), self.timeout).await
+    }
+
+    async fn swap(&self, key: &str, version: u64, value: &[u8]) -> Result<u64> {
+        let sent = self
+            .client
+            .put(self.url(key))
+            .query(&[("if_version", version)])
+            .timeout(self.timeout)
+            .body(value.to_vec())
+            .send()
+            .await;
+        let reply = sent.map_err(|err| {
+            let connect = err.is_connect();
+            let reason = err.without_url().to_string();
+            if connect {
+                Error::Unavailable(reason)
+            } else {
+                Error::ReplyLost(reason)
+            }
+        })?;
+        let version = version_of(&reply);
+        match (reply.status(), version) {
+            (StatusCode::OK, Some(version)) => Ok(version),
+            (StatusCode::PRECONDITION_FAILED, Some(version)) => Err(Error::Conflict(version)),
+            (StatusCode::PAYLOAD_TOO_LARGE, _) => Err(Error::TooLarge(value.len())),
+            (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _) => {
+                Err(Error::Unavailable(reply.status().to_string()))
+            }
+            (status, _) => Err(Error::ReplyLost(status.to_string())),
+        }
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Versioned>> {
+        let wait_ms = wait.as_millis();
+        let url = format!("{}?after={after}&wait_ms={wait_ms}", self.url(key));
+        self.read(url, wait + self.timeout).await
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-platform/src/memory.rs
@@ -0,0 +1,162 @@
+//! A store in memory, with faults, for tests and for the stand-in server.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Mutex,
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use tokio::sync::Notify;
+
+use crate::store::{Error, Result, Store, Versioned};
+
+/// The store's limit on a value, in bytes.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// What happens to a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteFault {
+    /// It is refused and does not take effect.
+    Refused,
+    /// It takes effect and the reply is lost.
+    ReplyLost,
+    /// It does not take effect and the reply is lost.
+    RequestLost,
+}
+
+/// What goes wrong at the moment.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Whether every call fails.
+    pub down: bool,
+    /// How long every call takes, in milliseconds.
+    pub delay_ms: u64,
+    /// What happens to the next writes, one entry each; `None` is no fault.
+    pub writes: VecDeque<Option<WriteFault>>,
+}
+
+#[derive(Default)]
+struct State {
+    keys: BTreeMap<String, Versioned>,
+    faults: Faults,
+    reads: u64,
+    writes: u64,
+}
+
+/// A store in memory.
+#[derive(Default)]
+pub struct MemoryStore {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl MemoryStore {
+    /// An empty store without faults.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Changes what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Calls so far: reads (watches included) and writes.
+    #[must_use]
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.reads, state.writes)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    async fn enter(&self) -> Result<()> {
+        let faults = {
+            let state = self.lock();
+            (state.faults.down, state.faults.delay_ms)
+        };
+        if faults.1 > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.1)).await;
+        }
+        if faults.0 {
+            return Err(Error::Unavailable("outage".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn read_after(&self, key: &str, after: u64) -> Option<Versioned> {
+        let state = self.lock();
+        state
+            .keys
+            .get(key)
+            .filter(|found| found.version > after)
+            .cloned()
+    }
+}
+
+impl State {
+    fn swap(&mut self, key: &str, version: u64, value: &[u8]) -> Result<u64> {
+        let current = self.keys.get(key).map_or(0, |found| found.version);
+        if current != version {
+            return Err(Error::Conflict(current));
+        }
+        let new = Versioned {
+            version: current + 1,
+            value: value.to_vec(),
+        };
+        self.keys.insert(key.to_owned(), new);
+        Ok(current + 1)
+    }
+}
+
+#[async_trait]
+impl Store for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>> {
+        self.enter().await?;
+        self.lock().reads += 1;
+        Ok(self.read_after(key, 0))
+    }
+
+    async fn swap(&self, key: &str, version: u64, value: &[u8]) -> Result<u64> {
+        self.enter().await?;
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(Error::TooLarge(value.len()));
+        }
+        let result = {
+            let mut state = self.lock();
+            state.writes += 1;
+            let lost = || Error::ReplyLost("fault".to_owned());
+            match state.faults.writes.pop_front().flatten() {
+                None => state.swap(key, version, value),
+                Some(WriteFault::Refused) => Err(Error::Unavailable("fault".to_owned())),
+                Some(WriteFault::RequestLost) => Err(lost()),
+                Some(WriteFault::ReplyLost) => {
+                    state.swap(key, version, value).and_then(|_| Err(lost()))
+                }
+            }
+        };
+        self.changed.notify_waiters();
+        result
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Versioned>> {
+        self.enter().await?;
+        self.lock().reads += 1;
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if let Some(found) = self.read_after(key, after) {
+                return Ok(Some(found));
+            }
+            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+                return Ok(None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-standins/src/service.rs
@@ -0,0 +1,86 @@
+//! A plain service whose calls may not be repeated.
+//!
+//! Any `POST` is an order: it runs each time it is asked, and `GET /runs`
+//! tells how often each `x-request-id` ran.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    process::ExitCode,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::State,
+    http::{HeaderMap, StatusCode, Uri},
+    response::{IntoResponse, Response},
+    routing::{any, get},
+};
+use bpaf::Bpaf;
+use serde_json::json;
+
+use crate::serve::{Result, serve};
+
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct Options {
+    /// Address to listen on
+    #[bpaf(argument("IP:PORT"))]
+    listen: SocketAddr,
+    /// How long a call takes
+    #[bpaf(argument("MS"), fallback(5))]
+    work_ms: u64,
+}
+
+struct Service {
+    runs: Mutex<HashMap<String, u64>>,
+    work: Duration,
+}
+
+/// Runs the service.
+pub(crate) async fn run(options: Options) -> Result<ExitCode> {
+    let service = Arc::new(Service {
+        runs: Mutex::new(HashMap::new()),
+        work: Duration::from_millis(options.work_ms),
+    });
+    let app = Router::new()
+        .route("/runs", get(runs))
+        .fallback(any(call))
+        .with_state(service);
+    serve(options.listen, app).await
+}
+
+async fn call(
+    State(service): State<Arc<Service>>,
+    headers: HeaderMap,
+    uri: Uri,
+    body: Bytes,
+) -> Response {
+    let id = headers
+        .get("x-request-id")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("none")
+        .to_owned();
+    let run = {
+        let mut runs = service
+            .runs
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let run = runs.entry(id.clone()).or_default();
+        *run += 1;
+        *run
+    };
+    tokio::time::sleep(service.work).await;
+    let order = json!({ "order": id, "path": uri.path(), "run": run, "bytes": body.len() });
+    (StatusCode::CREATED, Json(order)).into_response()
+}
+
+async fn runs(State(service): State<Arc<Service>>) -> Json<HashMap<String, u64>> {
+    let runs = service.runs.lock();
+    Json(
+        runs.unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone(),
+    )
+}
--- /dev/null
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -0,0 +1,173 @@
+//! What a wallet and a record tell each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{BudgetName, Fingerprint, Incarnation, RequestKey};
+
+/// What became of a request's work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The work ran and the backend server answered with this HTTP status.
+    Ran(u16),
+    /// Nothing was sent to a backend server; a claim is given back.
+    NotRun,
+    /// The work may have run.
+    Unknown,
+}
+
+/// What a finished request costs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bill {
+    /// The key under which the request is billed once; `None` if the caller
+    /// sent none, in which case no other router can ever bill it.
+    pub key: Option<RequestKey>,
+    /// Tokens used.
+    pub tokens: u64,
+    /// What became of the work.
+    pub outcome: Outcome,
+}
+
+impl Bill {
+    /// A bill for work that ran well.
+    #[must_use]
+    pub fn new(key: Option<RequestKey>, tokens: u64) -> Self {
+        Self {
+            key,
+            tokens,
+            outcome: Outcome::Ran(200),
+        }
+    }
+}
+
+/// One bill in a wallet's sequence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settlement {
+    /// Position in the incarnation's sequence for this shard, from 1.
+    pub seq: u64,
+    /// The budget that pays.
+    pub budget: BudgetName,
+    /// The bill.
+    pub bill: Bill,
+}
+
+/// A request to be the only one that may run a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The key to claim.
+    pub key: RequestKey,
+    /// Distinguishes two attempts of one incarnation.
+    pub attempt: u64,
+    /// What the caller sent; a claim with another fingerprint is refused.
+    pub fingerprint: Fingerprint,
+}
+
+/// A wallet's position in one budget. All figures are cumulative tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetReport {
+    /// The budget.
+    pub budget: BudgetName,
+    /// The highest `paid` figure in the tables this router has seen.
+    pub paid: u64,
+    /// Total grants without which a waiting request can't run.
+    pub need: u64,
+    /// Total grants that would cover the near future as well.
+    pub want: u64,
+    /// Total given back unspent.
+    pub returned: u64,
+}
+
+/// Everything a wallet tells a record in one exchange.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who reports.
+    pub incarnation: Incarnation,
+    /// Positions that changed.
+    pub budgets: Vec<BudgetReport>,
+    /// Settlements that no reply has confirmed.
+    pub settlements: Vec<Settlement>,
+    /// Claims that no reply has answered.
+    pub claims: Vec<Claim>,
+    /// Whether the incarnation has stopped for good.
+    pub closed: bool,
+}
+
+impl Report {
+    /// Whether applying this report could change a record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.budgets.is_empty()
+            && self.settlements.is_empty()
+            && self.claims.is_empty()
+            && !self.closed
+    }
+}
+
+/// What became of a settlement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Billed, now or by an earlier delivery of the same settlement.
+    Billed,
+    /// Another incarnation billed the key; the tokens are free again.
+    Duplicate,
+    /// The grant had been released and the budget has no room left.
+    Unbillable,
+}
+
+impl Verdict {
+    /// The word used in counters.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Billed => "bill-recorded",
+            Self::Duplicate => "bill-duplicate",
+            Self::Unbillable => "bill-unbillable",
+        }
+    }
+}
+
+/// What became of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimVerdict {
+    /// The claimant is the holder and may send the work.
+    Granted,
+    /// Somebody else is or was the holder and no outcome is recorded.
+    Held,
+    /// The work is recorded with this outcome.
+    Finished(Outcome),
+    /// The key belongs to a request with another fingerprint.
+    OtherRequest,
+}
+
+/// A record's answer about one budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantReply {
+    /// The budget.
+    pub budget: BudgetName,
+    /// The highest `paid` figure recorded.
+    pub paid: u64,
+    /// Total granted to the incarnation, cumulative.
+    pub granted: u64,
+    /// Total that the incarnation gave back, as recorded.
+    pub returned: u64,
+    /// Tokens that nobody holds and that are not settled.
+    pub free: u64,
+    /// Whether the need of some wallet could not be met lately, so that idle
+    /// grants should be given back.
+    pub recall: bool,
+}
+
+/// A record's answer to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// Whose report this answers.
+    pub incarnation: Incarnation,
+    /// Answers for the report's budgets, in its order.
+    pub grants: Vec<GrantReply>,
+    /// Verdicts by sequence number.
+    pub settled: Vec<(u64, Verdict)>,
+    /// Verdicts by claim, in the report's order.
+    pub claims: Vec<(Claim, ClaimVerdict)>,
+    /// Whether the record regards this incarnation as closed, after which it
+    /// grants nothing to it.
+    pub closed: bool,
+}
--- /dev/null
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -0,0 +1,376 @@
+//! The router's side of the ledger.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{
+    Bill, BudgetReport, Claim, ClaimVerdict, Outcome, Report, ReportReply, Settlement, Verdict,
+};
+use crate::ids::{BudgetName, Incarnation, RequestKey};
+
+/// How far ahead of its spending a wallet keeps grants, in milliseconds.
+const HORIZON_MS: u64 = 2_000;
+/// Fewest free tokens at the record for which a wallet asks ahead of need.
+const MIN_WISH: u64 = 64;
+/// Time constant of the spend-rate estimate, in milliseconds.
+const RATE_WINDOW_MS: u64 = 5_000;
+
+/// Tokens set aside for a request that is running.
+///
+/// It must be given back to its wallet by [`Wallet::settle`] or
+/// [`Wallet::cancel`].
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a reservation holds tokens until it is settled or cancelled"]
+pub struct Reservation {
+    budget: BudgetName,
+    tokens: u64,
+}
+
+impl Reservation {
+    /// Tokens set aside.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// The budget that pays.
+    #[must_use]
+    pub fn budget(&self) -> &BudgetName {
+        &self.budget
+    }
+}
+
+/// The answer to [`Wallet::reserve`].
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reserve {
+    /// The tokens are set aside.
+    Held(Reservation),
+    /// The wallet holds too little; the next report asks for more.
+    Short,
+}
+
+/// A wallet's share of one budget. Cumulative tokens, but for `reserved`.
+#[derive(Clone, Debug, Default)]
+struct Purse {
+    paid: u64,
+    granted: u64,
+    returned: u64,
+    spent: u64,
+    reserved: u64,
+    /// Tokens that waiting requests lack.
+    lacking: u64,
+    /// Whether other wallets are short.
+    recall: bool,
+    /// Spend per second, exponentially averaged.
+    rate: f64,
+    rate_at_ms: u64,
+    /// Tokens that the record had free when last heard of.
+    free_at_record: u64,
+    /// The `paid` figure that the record is known to hold.
+    recorded_paid: u64,
+    /// The `returned` figure that the record is known to hold.
+    recorded_returned: u64,
+}
+
+impl Purse {
+    fn spendable(&self) -> u64 {
+        self.granted - self.returned - self.spent - self.reserved
+    }
+
+    fn note_spend(&mut self, tokens: u64, now_ms: u64) {
+        self.decay(now_ms);
+        self.rate += as_f64(tokens) * 1_000.0 / as_f64(RATE_WINDOW_MS);
+    }
+
+    fn decay(&mut self, now_ms: u64) {
+        let elapsed = now_ms.saturating_sub(self.rate_at_ms);
+        self.rate *= (-as_f64(elapsed) / as_f64(RATE_WINDOW_MS)).exp();
+        self.rate_at_ms = self.rate_at_ms.max(now_ms);
+    }
+
+    /// Spare tokens that cover the near future.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn cushion(&self) -> u64 {
+        if self.recall {
+            return 0;
+        }
+        (self.rate * as_f64(HORIZON_MS) / 1_000.0) as u64
+    }
+
+    fn give_back(&mut self) {
+        let cushion = self.cushion();
+        let spare = self.spendable().saturating_sub(self.lacking);
+        if spare > cushion.saturating_mul(2) {
+            self.returned += spare - cushion;
+        }
+    }
+
+    fn position(&self, budget: &BudgetName) -> BudgetReport {
+        let base = self.returned + self.spent + self.reserved;
+        let need = base + self.lacking;
+        BudgetReport {
+            budget: budget.clone(),
+            paid: self.paid,
+            need,
+            want: need + self.cushion(),
+            returned: self.returned,
+        }
+    }
+
+    fn is_low(&self) -> bool {
+        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion() / 2
+    }
+
+    /// Whether the record should hear of this purse.
+    fn needs_report(&self) -> bool {
+        self.is_low()
+            || self.lacking > 0
+            || self.paid > self.recorded_paid
+            || self.returned > self.recorded_returned
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(value: u64) -> f64 {
+    value as f64
+}
+
+/// Grants, reservations and unconfirmed settlements of one router process in
+/// one ledger shard.
+///
+/// The invariant is `spent + reserved + returned <= granted` for each budget,
+/// where `granted` only ever rises by [`accept`](Self::accept).
+#[derive(Clone, Debug)]
+pub struct Wallet {
+    incarnation: Incarnation,
+    purses: HashMap<BudgetName, Purse>,
+    outbox: BTreeMap<u64, Settlement>,
+    claims: BTreeMap<(RequestKey, u64), Claim>,
+    last_seq: u64,
+    closing: bool,
+    closed: bool,
+}
+
+impl Wallet {
+    /// An empty wallet for one run of a router.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            purses: HashMap::new(),
+            outbox: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            last_seq: 0,
+            closing: false,
+            closed: false,
+        }
+    }
+
+    /// The run of the router that this wallet belongs to.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Notes the cumulative amount paid into `budget`; it never falls.
+    pub fn set_paid(&mut self, budget: &BudgetName, paid: u64) {
+        let purse = self.purses.entry(budget.clone()).or_default();
+        purse.paid = purse.paid.max(paid);
+    }
+
+    /// Sets `tokens` of `budget` aside, or notes that they are lacking.
+    pub fn reserve(&mut self, budget: &BudgetName, tokens: u64, now_ms: u64) -> Reserve {
+        let purse = self.purses.entry(budget.clone()).or_default();
+        purse.decay(now_ms);
+        if purse.spendable() < tokens {
+            purse.lacking += tokens;
+            return Reserve::Short;
+        }
+        purse.reserved += tokens;
+        Reserve::Held(Reservation {
+            budget: budget.clone(),
+            tokens,
+        })
+    }
+
+    /// Ends a reservation with its bill and returns the settlement's number.
+    ///
+    /// The bill is cut to the reservation: the router enforces the bound on
+    /// the work, so a larger figure is the back end's error, not the
+    /// organisation's debt.
+    pub fn settle(&mut self, reservation: Reservation, mut bill: Bill, now_ms: u64) -> u64 {
+        bill.tokens = bill.tokens.min(reservation.tokens);
+        let purse = self.purses.entry(reservation.budget.clone()).or_default();
+        purse.reserved -= reservation.tokens;
+        purse.spent += bill.tokens;
+        purse.note_spend(bill.tokens, now_ms);
+        self.last_seq += 1;
+        let settlement = Settlement {
+            seq: self.last_seq,
+            budget: reservation.budget,
+            bill,
+        };
+        self.outbox.insert(self.last_seq, settlement);
+        self.last_seq
+    }
+
+    /// Ends a reservation whose work never ran and that holds no claim.
+    #[allow(clippy::needless_pass_by_value)] // Taking it keeps it from being used again.
+    pub fn cancel(&mut self, reservation: Reservation) {
+        if let Some(purse) = self.purses.get_mut(&reservation.budget) {
+            purse.reserved -= reservation.tokens;
+        }
+    }
+
+    /// Ends a reservation whose claimed work certainly never ran, so that
+    /// the claim is given back.
+    pub fn unclaim(&mut self, reservation: Reservation, key: RequestKey, now_ms: u64) -> u64 {
+        let bill = Bill {
+            key: Some(key),
+            tokens: 0,
+            outcome: Outcome::NotRun,
+        };
+        self.settle(reservation, bill, now_ms)
+    }
+
+    /// Asks to be the only runner of a key; the answer comes by
+    /// [`accept`](Self::accept).
+    pub fn claim(&mut self, claim: Claim) {
+        self.claims.insert((claim.key, claim.attempt), claim);
+    }
+
+    /// Stops asking for a claim. It may have been granted all the same.
+    pub fn forget_claim(&mut self, claim: &Claim) {
+        self.claims.remove(&(claim.key, claim.attempt));
+    }
+
+    /// A settlement that no reply has confirmed.
+    #[must_use]
+    pub fn unconfirmed(&self, seq: u64) -> Option<&Settlement> {
+        self.outbox.get(&seq)
+    }
+
+    /// Begins the last report: everything unspent is given back. No request
+    /// may be running.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Whether the closing report has been confirmed, so that nothing of
+    /// this incarnation is in doubt.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Whether every settlement is confirmed and nothing is reserved.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.outbox.is_empty() && self.reserved() == 0
+    }
+
+    /// Whether the spare tokens of `budget` are running out while the record
+    /// may have more.
+    #[must_use]
+    pub fn is_low(&self, budget: &BudgetName) -> bool {
+        self.purses.get(budget).is_some_and(Purse::is_low)
+    }
+
+    /// Whether no record has ever heard of this wallet.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        self.purses.values().all(|purse| purse.recorded_paid == 0)
+            && self.last_seq == 0
+            && self.claims.is_empty()
+    }
+
+    /// Forgets what waiting requests lack, because they were refused.
+    pub fn forget_needs(&mut self) {
+        for purse in self.purses.values_mut() {
+            purse.lacking = 0;
+        }
+    }
+
+    /// Notes a higher paid figure of a budget that this wallet has used.
+    pub fn raise_paid(&mut self, budget: &BudgetName, paid: u64) {
+        if let Some(purse) = self.purses.get_mut(budget) {
+            purse.paid = purse.paid.max(paid);
+        }
+    }
+
+    /// Notes that another wallet lacks tokens that this one may hold idle.
+    pub fn recall(&mut self, budget: &BudgetName) {
+        if let Some(purse) = self.purses.get_mut(budget) {
+            purse.recall = true;
+        }
+    }
+
+    /// Tokens of `budget` that could be reserved now.
+    #[must_use]
+    pub fn spendable(&self, budget: &BudgetName) -> u64 {
+        self.purses.get(budget).map_or(0, Purse::spendable)
+    }
+
+    /// Tokens set aside over all budgets.
+    #[must_use]
+    pub fn reserved(&self) -> u64 {
+        self.purses.values().map(|purse| purse.reserved).sum()
+    }
+
+    /// What to tell the record now.
+    pub fn report(&mut self, now_ms: u64) -> Report {
+        let mut budgets = Vec::new();
+        for (budget, purse) in &mut self.purses {
+            purse.decay(now_ms);
+            purse.give_back();
+            if purse.needs_report() {
+                budgets.push(purse.position(budget));
+            }
+        }
+        Report {
+            incarnation: self.incarnation,
+            budgets,
+            settlements: self.outbox.values().cloned().collect(),
+            claims: self.claims.values().copied().collect(),
+            closed: self.closing && !self.closed,
+        }
+    }
+
+    /// Takes in a record's reply, after the store holds the record.
+    ///
+    /// Replies may come late, twice or out of order. Returns the claims that
+    /// were answered and the settlements that were confirmed.
+    pub fn accept(&mut self, reply: &ReportReply) -> Accepted {
+        for grant in &reply.grants {
+            let purse = self.purses.entry(grant.budget.clone()).or_default();
+            purse.granted = purse.granted.max(grant.granted);
+            purse.recall = grant.recall;
+            purse.free_at_record = grant.free;
+            purse.lacking = 0;
+            purse.recorded_paid = purse.recorded_paid.max(grant.paid);
+            purse.recorded_returned = purse.recorded_returned.max(grant.returned);
+        }
+        let settled = reply
+            .settled
+            .iter()
+            .filter(|(seq, _)| self.outbox.remove(seq).is_some())
+            .copied()
+            .collect();
+        let claims = reply
+            .claims
+            .iter()
+            .filter(|(claim, _)| self.claims.remove(&(claim.key, claim.attempt)).is_some())
+            .copied()
+            .collect();
+        self.closed |= reply.closed;
+        Accepted { settled, claims }
+    }
+}
+
+/// What a reply resolved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Accepted {
+    /// Settlements that are durable, with their verdicts.
+    pub settled: Vec<(u64, Verdict)>,
+    /// Claims that were answered.
+    pub claims: Vec<(Claim, ClaimVerdict)>,
+}
--- /dev/null
+++ b/crates/peridotslip/src/prelude.rs
@@ -0,0 +1,14 @@
+//! The types that most embedders need, for one `use`.
+
+pub use crate::balance::{Candidate, Policy};
+pub use crate::config::{Head, Page};
+pub use crate::dedupe::{Admission, Dedupe};
+pub use crate::ids::{
+    BudgetName, Fingerprint, Incarnation, OrganisationName, PoolName, RequestKey, Revision,
+    RouteName,
+};
+pub use crate::ledger::{
+    Bill, ClaimVerdict, Outcome, Report, ReportReply, Reservation, Reserve, ShardRecord, Wallet,
+};
+pub use crate::refusal::{Refusal, RetryReason, Run};
+pub use crate::tables::{DeadlineClass, Pool, PoolKind, PoolTable, Route, RouteTable, Tables};
--- /dev/null
+++ b/crates/peridotslip/tests/ledger.rs
@@ -0,0 +1,282 @@
+//! Histories of wallets and a record against an independent account of the
+//! money.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotslip::{
+    ledger::{Claim, Report, ReportReply},
+    prelude::*,
+};
+use proptest::prelude::*;
+
+const BUDGET: &str = "muscat";
+const KEYS: u128 = 4;
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+enum Step {
+    Reserve {
+        wallet: usize,
+        tokens: u64,
+    },
+    Settle {
+        wallet: usize,
+        part: u64,
+        key: Option<u128>,
+    },
+    Cancel {
+        wallet: usize,
+    },
+    /// The wallet's report is sent.
+    Report {
+        wallet: usize,
+    },
+    /// A sent report is applied and the record is stored, or the swap loses.
+    Apply {
+        message: usize,
+        stored: bool,
+    },
+    /// A reply arrives; replies may arrive again.
+    Accept {
+        reply: usize,
+    },
+    Claim {
+        wallet: usize,
+        key: u128,
+    },
+    TopUp {
+        by: u64,
+    },
+    /// The process dies; another incarnation takes its place.
+    Restart {
+        wallet: usize,
+        released: bool,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let wallet = 0..3_usize;
+    prop_oneof![
+        4 => (wallet.clone(), 1..200_u64).prop_map(|(wallet, tokens)| Step::Reserve { wallet, tokens }),
+        4 => (wallet.clone(), 0..=100_u64, proptest::option::of(0..KEYS))
+            .prop_map(|(wallet, part, key)| Step::Settle { wallet, part, key }),
+        1 => wallet.clone().prop_map(|wallet| Step::Cancel { wallet }),
+        6 => wallet.clone().prop_map(|wallet| Step::Report { wallet }),
+        8 => (0..64_usize, prop::bool::weighted(0.8))
+            .prop_map(|(message, stored)| Step::Apply { message, stored }),
+        8 => (0..64_usize).prop_map(|reply| Step::Accept { reply }),
+        2 => (wallet.clone(), 0..KEYS).prop_map(|(wallet, key)| Step::Claim { wallet, key }),
+        1 => (1..500_u64).prop_map(|by| Step::TopUp { by }),
+        1 => (wallet, any::<bool>()).prop_map(|(wallet, released)| Step::Restart { wallet, released }),
+    ]
+}
+
+/// The world: three processes, the stored record, messages that stay on the
+/// way for ever, and an independent account of what was spent.
+struct World {
+    wallets: Vec<Wallet>,
+    reservations: Vec<Vec<Reservation>>,
+    record: ShardRecord,
+    reports: Vec<Report>,
+    replies: Vec<ReportReply>,
+    paid: u64,
+    next_incarnation: u128,
+    /// Tokens that processes have spent, by incarnation, whatever anyone
+    /// heard of it.
+    spent: BTreeMap<Incarnation, u64>,
+    /// Holders that were told they may run a key.
+    runners: BTreeMap<u128, BTreeSet<(Incarnation, u64)>>,
+    attempts: u64,
+    now_ms: u64,
+}
+
+fn world(paid: u64) -> World {
+    World {
+        wallets: (0..3)
+            .map(|id| Wallet::new(Incarnation::from(id)))
+            .collect(),
+        reservations: vec![Vec::new(), Vec::new(), Vec::new()],
+        record: ShardRecord::default(),
+        reports: Vec::new(),
+        replies: Vec::new(),
+        paid,
+        next_incarnation: 3,
+        spent: BTreeMap::new(),
+        runners: BTreeMap::new(),
+        attempts: 0,
+        now_ms: 0,
+    }
+}
+
+impl World {
+    fn act(&mut self, step: Step) {
+        self.now_ms += 10;
+        match step {
+            Step::Reserve { wallet, tokens } => {
+                self.wallets[wallet].set_paid(&BUDGET.into(), self.paid);
+                let held = self.wallets[wallet].reserve(&BUDGET.into(), tokens, self.now_ms);
+                if let Reserve::Held(reservation) = held {
+                    self.reservations[wallet].push(reservation);
+                }
+            }
+            Step::Settle { wallet, part, key } => {
+                if let Some(reservation) = self.reservations[wallet].pop() {
+                    let tokens = reservation.tokens() * part / 100;
+                    let incarnation = self.wallets[wallet].incarnation();
+                    *self.spent.entry(incarnation).or_default() += tokens;
+                    let bill = Bill::new(key.map(RequestKey::from), tokens);
+                    self.wallets[wallet].settle(reservation, bill, self.now_ms);
+                }
+            }
+            Step::Cancel { wallet } => {
+                if let Some(reservation) = self.reservations[wallet].pop() {
+                    self.wallets[wallet].cancel(reservation);
+                }
+            }
+            Step::Report { wallet } => {
+                let report = self.wallets[wallet].report(self.now_ms);
+                self.reports.push(report);
+            }
+            Step::Apply { message, stored } => self.apply(message, stored),
+            Step::Accept { reply } => {
+                if !self.replies.is_empty() {
+                    let reply = self.replies[reply % self.replies.len()].clone();
+                    self.accept(&reply);
+                }
+            }
+            Step::Claim { wallet, key } => {
+                self.attempts += 1;
+                self.wallets[wallet].claim(Claim {
+                    key: RequestKey::from(key + 1_000),
+                    attempt: self.attempts,
+                    fingerprint: Fingerprint::from(1),
+                });
+            }
+            Step::TopUp { by } => self.paid += by,
+            Step::Restart { wallet, released } => {
+                let old = self.wallets[wallet].incarnation();
+                self.wallets[wallet] = Wallet::new(Incarnation::from(self.next_incarnation));
+                self.next_incarnation += 1;
+                self.reservations[wallet].clear();
+                if released {
+                    self.record.release(old, self.now_ms);
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, message: usize, stored: bool) {
+        if self.reports.is_empty() {
+            return;
+        }
+        let report = &self.reports[message % self.reports.len()];
+        let mut next = self.record.clone();
+        let reply = next.apply(report, self.now_ms);
+        if stored {
+            self.record = ShardRecord::decode(&next.encode()).expect("it reads back");
+            self.replies.push(reply);
+        }
+    }
+
+    fn accept(&mut self, reply: &ReportReply) {
+        let wallet = self
+            .wallets
+            .iter_mut()
+            .find(|wallet| wallet.incarnation() == reply.incarnation);
+        let Some(wallet) = wallet else { return };
+        for (claim, verdict) in wallet.accept(reply).claims {
+            if verdict == ClaimVerdict::Granted {
+                let runners = self.runners.entry(claim.key.value()).or_default();
+                runners.insert((reply.incarnation, claim.attempt));
+            }
+        }
+    }
+
+    fn check(&self) {
+        let Some(account) = self.record.account(&BUDGET.into()) else {
+            return;
+        };
+        let spent: u64 = self.spent.values().sum();
+        assert!(account.paid <= self.paid, "the record invents payments");
+        assert_eq!(
+            account.overspend(),
+            0,
+            "settled and granted pass what was paid"
+        );
+        assert!(
+            account.settled <= spent,
+            "billed {} of {spent} spent",
+            account.settled
+        );
+        for (key, runners) in &self.runners {
+            assert!(runners.len() <= 1, "key {key} may run at {runners:?}");
+        }
+    }
+
+    /// Delivers everything that is still outstanding.
+    fn drain(&mut self) {
+        for wallet in 0..self.wallets.len() {
+            while let Some(reservation) = self.reservations[wallet].pop() {
+                self.wallets[wallet].cancel(reservation);
+            }
+            self.wallets[wallet].close();
+            let report = self.wallets[wallet].report(self.now_ms);
+            let reply = self.record.apply(&report, self.now_ms);
+            self.accept(&reply);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_history_overspends_or_runs_a_claim_twice(
+        steps in proptest::collection::vec(step(), 1..120),
+    ) {
+        let mut world = world(1_000);
+        for step in steps {
+            world.act(step);
+            world.check();
+        }
+        world.drain();
+        world.check();
+    }
+
+    #[test]
+    fn without_deaths_every_key_is_billed_exactly_once(
+        steps in proptest::collection::vec(step(), 1..120),
+    ) {
+        let mut world = world(1_000);
+        let mut unkeyed = 0;
+        let mut keyed: BTreeMap<u128, Vec<u64>> = BTreeMap::new();
+        for step in steps {
+            if matches!(step, Step::Restart { .. }) {
+                continue;
+            }
+            if let Step::Settle { wallet, part, key } = &step {
+                if let Some(reservation) = world.reservations[*wallet].last() {
+                    let tokens = reservation.tokens() * part / 100;
+                    match key {
+                        Some(key) => keyed.entry(*key).or_default().push(tokens),
+                        None => unkeyed += tokens,
+                    }
+                }
+            }
+            world.act(step);
+        }
+        world.drain();
+        let settled = world.record.account(&BUDGET.into()).map_or(0, |account| account.settled);
+        let outstanding = world.record.account(&BUDGET.into()).map_or(0, |a| a.outstanding());
+        prop_assert_eq!(outstanding, 0);
+        let least: u64 = keyed.values().filter_map(|bills| bills.iter().min()).sum();
+        let most: u64 = keyed.values().filter_map(|bills| bills.iter().max()).sum();
+        prop_assert!(settled >= unkeyed + least, "{settled} < {unkeyed} + {least}");
+        prop_assert!(settled <= unkeyed + most, "{settled} > {unkeyed} + {most}");
+    }
+}
--- /dev/null
+++ b/crates/peridotslip/tests/tables.rs
@@ -0,0 +1,306 @@
+//! Rules, merging and matching of the two tables.
+
+mod common;
+
+use common::{budget, model_route, path_route, pool, tables};
+use peridotslip::{
+    prelude::*,
+    tables::{KeyHash, Problem, Server},
+};
+
+/// A change that breaks one rule, and how the problem begins.
+type Breach = (fn(&mut Tables), &'static str);
+
+#[test]
+fn each_broken_rule_is_named_with_its_row() {
+    let breaches: Vec<Breach> = vec![
+        (
+            |t| t.routes.routes[0].pool = "nowhere".into(),
+            "MissingPool(\"taglines\"",
+        ),
+        (
+            |t| t.pools.pools[0].budget = None,
+            "PoolWithoutBudget(\"taglines\"",
+        ),
+        (
+            |t| t.pools.pools[0].budget = Some("none".into()),
+            "MissingBudget(\"model\"",
+        ),
+        (
+            |t| t.pools.budgets[0].organisation = "nizwa".into(),
+            "ForeignBudget(\"taglines\"",
+        ),
+        (|t| t.pools.pools[0].servers.clear(), "Servers(\"model\""),
+        (
+            |t| t.pools.pools[0].servers_of = Some("service".into()),
+            "Servers(\"model\"",
+        ),
+        (
+            |t| {
+                t.pools.pools[0].servers.clear();
+                t.pools.pools[0].servers_of = Some("service".into());
+            },
+            "ServersOf(\"model\"",
+        ),
+        (
+            |t| t.pools.pools[0].servers[0].address = "engine".to_owned(),
+            "Address(\"model\"",
+        ),
+        (
+            |t| {
+                let server = t.pools.pools[0].servers[0].clone();
+                t.pools.pools[0].servers.push(server);
+            },
+            "Address(\"model\"",
+        ),
+        (|t| t.routes.routes[0].model = None, "Match(\"taglines\""),
+        (
+            |t| t.routes.routes[0].path = Some("/both".to_owned()),
+            "Match(\"taglines\"",
+        ),
+        (
+            |t| t.routes.routes[0].pool = "service".into(),
+            "MatchKind(\"taglines\"",
+        ),
+        (
+            |t| t.routes.routes[1].path = Some("orders".to_owned()),
+            "Path(\"orders\"",
+        ),
+        (
+            |t| t.routes.routes[1].path = Some("/v1".to_owned()),
+            "Path(\"orders\"",
+        ),
+        (
+            |t| t.routes.routes[1].methods = vec!["post".to_owned()],
+            "Method(\"orders\"",
+        ),
+        (|t| t.routes.routes[0].deadline_ms = 0, "Zero(\"taglines\""),
+        (|t| t.routes.routes[0].max_tokens = 0, "Zero(\"taglines\""),
+        (
+            |t| {
+                let twin = model_route("twin", "muscat", "tagline", "model");
+                t.routes.routes.push(twin);
+            },
+            "Overlap(\"taglines\", \"twin\"",
+        ),
+        (
+            |t| {
+                let mut other = model_route("other", "nizwa", "tagline", "nizwa");
+                other.keys = vec![KeyHash::of("key-muscat")];
+                t.routes.routes.push(other);
+                t.pools.pools.push(pool("nizwa", PoolKind::Model, "nizwa"));
+                t.pools.budgets.push(budget("nizwa", "nizwa", 5));
+            },
+            "SharedKey(\"other\"",
+        ),
+        (
+            |t| {
+                t.routes
+                    .routes
+                    .iter_mut()
+                    .for_each(|route| route.keys.clear())
+            },
+            "NoKey(\"muscat\"",
+        ),
+        (
+            |t| t.pools.pools[1].name = "model".into(),
+            "DuplicateName(\"pool\", \"model\"",
+        ),
+        (
+            |t| t.routes.routes[0].name = "a b".into(),
+            "BadName(\"route\", \"a b\"",
+        ),
+    ];
+    for (breach, begins) in breaches {
+        let mut broken = tables();
+        breach(&mut broken);
+        let problems: Vec<String> = broken
+            .problems()
+            .iter()
+            .map(|problem| format!("{problem:?}"))
+            .collect();
+        assert!(
+            problems.iter().any(|problem| problem.starts_with(begins)),
+            "expected {begins}, found {problems:?}"
+        );
+        assert!(
+            broken.index().is_err(),
+            "{begins} must keep the tables from being used"
+        );
+    }
+    assert_eq!(tables().problems(), Vec::new());
+}
+
+#[test]
+fn paid_figures_never_fall_and_budgets_keep_their_owner() {
+    let current = tables();
+    let mut lowered = tables();
+    lowered.pools.budgets[0].paid_tokens = 999;
+    let mut removed = tables();
+    removed.pools.budgets.clear();
+    let mut moved = tables();
+    moved.pools.budgets[0].firm = "maraval".to_owned();
+
+    let problems = [lowered, removed, moved].map(|new| new.problems_after(&current));
+
+    assert_eq!(
+        problems[0],
+        [Problem::LoweredPaid("muscat".to_owned(), 1_000, 999)]
+    );
+    assert_eq!(problems[1], [Problem::RemovedBudget("muscat".to_owned())]);
+    assert_eq!(problems[2], [Problem::MovedBudget("muscat".to_owned())]);
+}
+
+#[test]
+fn edits_of_different_rows_both_hold() {
+    let base = tables();
+    let mut mine = base.clone();
+    mine.routes.routes[0].deadline_ms = 2_000;
+    let mut theirs = base.clone();
+    theirs.revision = Revision::from(2);
+    theirs.pools.budgets[0].paid_tokens = 5_000;
+    theirs
+        .routes
+        .routes
+        .push(path_route("status", "muscat", "/status", "service"));
+
+    let merged = mine.rebase(&base, &theirs).expect("the rows differ");
+
+    assert_eq!(merged.revision, Revision::from(2));
+    assert_eq!(merged.routes.routes[0].deadline_ms, 2_000);
+    assert_eq!(merged.routes.routes.len(), 3);
+    assert_eq!(merged.pools.budgets[0].paid_tokens, 5_000);
+}
+
+#[test]
+fn edits_of_the_same_row_conflict_and_show_the_other_change() {
+    let base = tables();
+    let mut mine = base.clone();
+    mine.routes.routes[0].deadline_ms = 2_000;
+    let mut theirs = base.clone();
+    theirs.routes.routes[0].deadline_ms = 3_000;
+    let mut removed = base.clone();
+    removed.routes.routes.remove(0);
+
+    let conflict = mine
+        .rebase(&base, &theirs)
+        .expect_err("both changed `taglines`");
+    let with_removal = mine.rebase(&base, &removed).expect_err("the row is gone");
+
+    let text = conflict.to_string();
+    assert!(
+        text.contains("`taglines`") && text.contains("3000"),
+        "{text}"
+    );
+    assert!(with_removal.to_string().contains("removed"));
+}
+
+#[test]
+fn repeating_an_edit_that_is_in_force_changes_nothing() {
+    let base = tables();
+    let mut mine = base.clone();
+    mine.routes.routes[0].deadline_ms = 2_000;
+
+    let once = mine.rebase(&base, &base).expect("no other edit");
+    let twice = mine.rebase(&base, &once).expect("the same edit");
+
+    assert_eq!(once, twice);
+}
+
+#[test]
+fn requests_match_by_key_model_method_and_longest_path() {
+    let mut all = tables();
+    let mut get = path_route("order-status", "muscat", "/orders/status", "service");
+    get.methods = vec!["GET".to_owned()];
+    all.routes.routes.push(get);
+    let index = all.index().expect("the tables keep the rules");
+    let muscat = OrganisationName::from("muscat");
+    let path = |method: &str, path: &str| {
+        let matched = index.match_path(&muscat, method, path)?;
+        Some(matched.route.name.to_string())
+    };
+
+    assert_eq!(index.organisation("key-muscat"), Some(&muscat));
+    assert_eq!(index.organisation("key-nizwa"), None);
+    assert!(index.match_model(&muscat, "tagline").is_some());
+    assert!(index.match_model(&muscat, "other").is_none());
+    assert!(index.match_model(&"nizwa".into(), "tagline").is_none());
+    assert_eq!(path("POST", "/orders").as_deref(), Some("orders"));
+    assert_eq!(
+        path("GET", "/orders/status/7").as_deref(),
+        Some("order-status")
+    );
+    assert_eq!(path("POST", "/orders/status/7").as_deref(), Some("orders"));
+    assert_eq!(path("POST", "/ordersx"), None);
+}
+
+#[test]
+fn a_change_to_one_row_costs_one_page_whatever_the_size() {
+    let mut all = tables();
+    for number in 0..5_000 {
+        let name = format!("b{number}");
+        all.pools.budgets.push(budget(&name, &name, 10));
+        all.pools
+            .pools
+            .push(pool(&format!("p{number}"), PoolKind::Model, &name));
+    }
+    let (before, pages) = Head::of(&all);
+    all.pools.budgets[2_500].paid_tokens = 11;
+    all.revision = Revision::from(2);
+
+    let (after, new_pages) = Head::of(&all);
+
+    let old: Vec<_> = before.page_ids().collect();
+    let fresh: Vec<_> = after.page_ids().filter(|id| !old.contains(id)).collect();
+    assert_eq!(fresh.len(), 1);
+    assert!(pages.len() > 50, "only {} pages", pages.len());
+    let by_id = new_pages
+        .into_iter()
+        .map(|page| (page.id, page.bytes))
+        .collect();
+    let read = after.assemble(&by_id).expect("all pages are there");
+    assert_eq!(read.problems(), Vec::new());
+    assert_eq!(read.pools.budgets.len(), all.pools.budgets.len());
+}
+
+#[test]
+fn a_row_added_in_the_middle_leaves_the_other_pages_alone() {
+    let mut all = tables();
+    for number in 0..2_000 {
+        all.pools
+            .budgets
+            .push(budget(&format!("b{number:05}"), "muscat", 10));
+    }
+    let (before, _) = Head::of(&all);
+    all.pools.budgets.push(budget("b00500x", "muscat", 10));
+
+    let (after, _) = Head::of(&all);
+
+    let old: Vec<_> = before.page_ids().collect();
+    let fresh = after.page_ids().filter(|id| !old.contains(id)).count();
+    assert!(fresh <= 2, "{fresh} pages changed");
+}
+
+#[test]
+fn servers_are_shared_by_pools_that_name_another() {
+    let mut all = tables();
+    all.pools.pools[0].servers.clear();
+    all.pools.pools[0].servers_of = Some("engines".into());
+    all.pools.pools.push(Pool {
+        budget: None,
+        servers: vec![Server {
+            address: "127.0.0.1:9100".to_owned(),
+            leaving: true,
+            checks_fencing: true,
+        }],
+        ..pool("engines", PoolKind::Model, "")
+    });
+
+    let index = all.index().expect("the tables keep the rules");
+
+    let matched = index
+        .match_model(&"muscat".into(), "tagline")
+        .expect("it matches");
+    assert_eq!(matched.server_pool, "engines".into());
+    assert_eq!(matched.servers[0].address, "127.0.0.1:9100");
+}
