--- a/crates/peridotslip-cli/src/commands/money.rs
+++ b/crates/peridotslip-cli/src/commands/money.rs
@@ -1,8 +1,11 @@
 //! Commands on budgets.
 
-use std::process::ExitCode;
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    process::ExitCode,
+};
 
-use peridotslip::ids::BudgetName;
+use peridotslip::{ids::BudgetName, ledger::ShardRecord, tables::Budget};
 use serde::Serialize;
 
 use super::{About, Error, Result, tables};
@@ -19,19 +22,27 @@
     free: u64,
 }
 
+/// The firm and shard that hold a budget.
+fn place(budget: &Budget, shards: u16) -> (&str, u16) {
+    (&budget.firm, budget.organisation.shard(shards))
+}
+
 pub(super) async fn budgets(remote: &Remote, shards: u16, format: Format) -> Result<ExitCode> {
     let store = remote.tables()?;
     let tables = store.tables(&store.head().await?.0).await?;
-    let mut records = Vec::new();
-    for shard in 0..shards {
-        records.push(remote.shard(shard).await?.unwrap_or_default());
+    let mut records: BTreeMap<(&str, u16), ShardRecord> = BTreeMap::new();
+    for budget in &tables.pools.budgets {
+        let (firm, shard) = place(budget, shards);
+        if let Entry::Vacant(entry) = records.entry((firm, shard)) {
+            entry.insert(remote.shard(firm, shard).await?.unwrap_or_default());
+        }
     }
     let rows: Vec<Row> = tables
         .pools
         .budgets
         .iter()
         .map(|budget| {
-            let record = &records[usize::from(budget.organisation.shard(shards))];
+            let record = &records[&place(budget, shards)];
             let account = record.account(&budget.name).cloned().unwrap_or_default();
             let (settled, granted) = (account.settled, account.outstanding());
             Row {
--- a/crates/peridotslip-cli/src/remote.rs
+++ b/crates/peridotslip-cli/src/remote.rs
@@ -44,9 +44,10 @@
         Ok(TableStore::new(self.open_store()?))
     }
 
-    /// A ledger shard's record, if it has one.
-    pub(crate) async fn shard(&self, shard: u16) -> Result<Option<ShardRecord>> {
-        let found = self.open_store()?.get(&format!("ledger/{shard}")).await?;
+    /// A firm's ledger shard, if it has a record.
+    pub(crate) async fn shard(&self, firm: &str, shard: u16) -> Result<Option<ShardRecord>> {
+        let key = format!("ledger/{firm}/{shard}");
+        let found = self.open_store()?.get(&key).await?;
         found
             .map(|found| Ok(ShardRecord::decode(&found.value)?))
             .transpose()
--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -17,6 +17,11 @@
     settings::Settings,
 };
 
+/// Tells the router that forwarded a request which server streams the answer.
+pub(crate) const SERVER_HEADER: &str = "x-peridotslip-server";
+/// Names the request at the router that worked on it.
+pub(crate) const HOME_HEADER: &str = "x-peridotslip-request";
+
 /// What every request of the process shares.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -73,6 +78,11 @@
     pub(crate) fingerprint: Fingerprint,
     /// The most tokens that the work can cost.
     pub(crate) bound: u64,
+    /// Whether another router took the request in and sent it here.
+    pub(crate) forwarded: bool,
+    /// A server that is already at work on the request, and how many parts
+    /// of its answer the caller has.
+    pub(crate) adopted: Option<(String, u64)>,
     /// Tokens set aside, until they are settled or cancelled.
     pub(crate) hold: Option<Hold>,
     /// What the work cost, if a bill is due.
@@ -99,6 +109,8 @@
             key: None,
             fingerprint: Fingerprint::default(),
             bound: 0,
+            forwarded: false,
+            adopted: None,
             hold: None,
             usage: None,
             held_back: None,
--- a/crates/peridotslip-daemon/src/controllers.rs
+++ b/crates/peridotslip-daemon/src/controllers.rs
@@ -8,15 +8,23 @@
 pub(crate) mod config;
 pub(crate) mod dedupe;
 pub(crate) mod ledger;
+pub(crate) mod members;
+pub(crate) mod witness;
 
 use std::sync::Arc;
 
 use tokio::sync::Semaphore;
 
+use crate::peer::PeerClient;
+
 /// Handles to every controller.
 pub(crate) struct Controllers {
     pub(crate) config: config::ConfigHandle,
     pub(crate) ledger: ledger::LedgerHandle,
+    pub(crate) direct: Arc<ledger::Direct>,
+    pub(crate) members: members::MembersHandle,
+    pub(crate) witness: witness::WitnessHandle,
+    pub(crate) peers: PeerClient,
     pub(crate) backends: backends::BackendsHandle,
     pub(crate) dedupe: dedupe::DedupeHandle,
     pub(crate) open_requests: Arc<Semaphore>,
--- a/crates/peridotslip-daemon/src/controllers/backends.rs
+++ b/crates/peridotslip-daemon/src/controllers/backends.rs
@@ -197,6 +197,8 @@
     pub(crate) server: String,
     finish: Finish,
     actor: ActorRef<BackendsController>,
+    /// Whether the controller counts the request as in flight there.
+    counted: bool,
 }
 
 impl Chosen {
@@ -208,6 +210,9 @@
 
 impl Drop for Chosen {
     fn drop(&mut self) {
+        if !self.counted {
+            return;
+        }
         let server = std::mem::take(&mut self.server);
         let finish = self.finish;
         let _ = self.actor.tell(Finished { server, finish }).try_send();
@@ -243,6 +248,16 @@
         })
     }
 
+    /// Stands for a server that works on a request which another router sent.
+    pub(crate) fn adopt(&self, server: String) -> Chosen {
+        Chosen {
+            server,
+            finish: Finish::Neutral,
+            actor: self.actor.clone(),
+            counted: false,
+        }
+    }
+
     /// A client that opens a connection for each request: what it could not
     /// connect for was certainly not sent.
     pub(crate) fn fresh_client(&self) -> reqwest::Client {
@@ -290,6 +305,7 @@
             server,
             finish: Finish::Neutral,
             actor: self.actor.clone(),
+            counted: true,
         })
     }
 }
--- a/crates/peridotslip-daemon/src/controllers/config.rs
+++ b/crates/peridotslip-daemon/src/controllers/config.rs
@@ -15,10 +15,21 @@
 use peridotslip_platform::{Store, TableError, TableStore};
 use tokio::sync::watch;
 
-use crate::{clock, metrics::Metrics};
+use super::members::MembersHandle;
+use crate::{
+    clock,
+    metrics::Metrics,
+    peer::{Answer, Ask, PeerClient},
+};
 
 /// How long one watch waits, in milliseconds.
 const WATCH_MS: u64 = 10_000;
+/// How long a router that is not a watcher rests, and how often, before it
+/// looks at the store: half a minute in all.
+const REST_MS: u64 = 1_000;
+const MAX_RESTS: u32 = 30;
+/// Longest wait for a peer's tables, in milliseconds.
+const PEER_TIMEOUT_MS: u64 = 3_000;
 /// Pause after a failed call to the store, in milliseconds.
 const RETRY_MS: u64 = 250;
 
@@ -119,14 +130,27 @@
 }
 
 /// Watches the store's head and offers what it finds, forever.
+///
+/// Only a few routers of each data centre watch all the time, to save the
+/// store's calls; the others hear of new tables from their peers and look at
+/// the store now and then.
 pub(crate) async fn watch_store(
     store: Arc<dyn Store>,
     handle: ConfigHandle,
+    members: MembersHandle,
     metrics: Arc<Metrics>,
 ) {
     let tables = TableStore::new(store);
     let mut version = 0;
+    let mut rests = 0;
     loop {
+        let rest = !members.view().watches && handle.revision().value() > 0 && rests < MAX_RESTS;
+        if rest {
+            rests += 1;
+            tokio::time::sleep(Duration::from_millis(REST_MS)).await;
+            continue;
+        }
+        rests = 0;
         metrics.store_call("watch");
         match tables.watch(version, Duration::from_millis(WATCH_MS)).await {
             Ok(Some((head, found))) => {
@@ -145,6 +169,58 @@
     }
 }
 
+/// Fetches newer tables from the peers that have them, forever.
+pub(crate) async fn follow_peers(
+    client: PeerClient,
+    handle: ConfigHandle,
+    members: MembersHandle,
+    metrics: Arc<Metrics>,
+) {
+    let mut newer = members.newer();
+    while newer.changed().await.is_ok() {
+        let Some((peer, revision)) = newer.borrow_and_update().clone() else {
+            continue;
+        };
+        if revision <= handle.revision() {
+            continue;
+        }
+        match fetch_from_peer(&client, &peer, &handle).await {
+            Some(offer) => {
+                metrics.event("tables-from-peer", 1);
+                handle.offer(offer).await;
+            }
+            None => log::debug!("newer tables could not be fetched from {peer}"),
+        }
+    }
+}
+
+async fn fetch_from_peer(client: &PeerClient, peer: &str, handle: &ConfigHandle) -> Option<Offer> {
+    let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+    let Ok(Answer::Head(Some(head))) = client.ask(peer, &Ask::Head, timeout).await else {
+        return None;
+    };
+    let head = Head::decode(&head).ok()?;
+    let held = handle
+        .held()
+        .offer
+        .map(|offer| offer.pages)
+        .unwrap_or_default();
+    let missing = |id: &&String| !held.contains_key(*id);
+    let ids: Vec<String> = head.page_ids().filter(missing).cloned().collect();
+    let ask = Ask::Pages { ids };
+    let Ok(Answer::Pages(fetched)) = client.ask(peer, &ask, timeout).await else {
+        return None;
+    };
+    let mut pages: HashMap<String, Vec<u8>> = fetched.into_iter().collect();
+    for id in head.page_ids() {
+        if let Some(bytes) = held.get(id) {
+            pages.insert(id.clone(), bytes.clone());
+        }
+    }
+    let pages = Arc::new(pages);
+    Some(Offer { head, pages })
+}
+
 /// Fetches the pages that are not held yet and offers the whole.
 async fn fetch<S: Store>(
     tables: &TableStore<S>,
--- a/crates/peridotslip-daemon/src/controllers/ledger.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger.rs
@@ -5,7 +5,10 @@
 //! one another, and what gathers during one goes together in the next.
 
 mod direct;
+mod doubt;
+mod recall;
 mod shard;
+mod via_writer;
 mod writer;
 
 use std::{sync::Arc, time::Duration};
@@ -20,11 +23,14 @@
 use quick_error::quick_error;
 use tokio::sync::oneshot;
 
-pub(crate) use self::direct::Direct;
 use self::shard::{
     Cancel, ClaimKey, Close, Paid, RecallBudget, ReserveTokens, Settle, ShardController,
 };
+pub(crate) use self::{
+    direct::Direct, doubt::release_ended, recall::PeerRecall, via_writer::ViaWriter,
+};
 use crate::{
+    controllers::witness::WitnessHandle,
     metrics::Metrics,
     problem::{self, Refused},
     settings::LedgerSettings,
@@ -62,6 +68,25 @@
     async fn exchange(&self, shard: u16, reports: Vec<Report>) -> Result<Vec<ReportReply>>;
 }
 
+/// A way to have other routers give idle grants back.
+#[async_trait]
+pub(crate) trait Recall: Send + Sync {
+    /// Asks these incarnations, or everyone if none is named, and returns
+    /// once they have answered.
+    async fn recall(&self, shard: u16, budget: BudgetName, holders: Vec<Incarnation>);
+}
+
+/// What every shard's controller works with.
+#[derive(Clone)]
+pub(crate) struct Ways {
+    pub(crate) me: Incarnation,
+    pub(crate) address: String,
+    pub(crate) path: Arc<dyn LedgerPath>,
+    pub(crate) recall: Arc<dyn Recall>,
+    pub(crate) witness: WitnessHandle,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// Tokens set aside for one request. Dropping it frees them.
 pub(crate) struct Hold {
     shard: ActorRef<ShardController>,
@@ -83,7 +108,26 @@
 
 /// A settlement on its way to the store.
 pub(crate) struct Settling {
+    /// Hears of it once the store has the bill.
     pub(crate) durable: oneshot::Receiver<()>,
+    /// Hears of it once another router keeps a copy.
+    pub(crate) copied: oneshot::Receiver<()>,
+}
+
+impl Settling {
+    /// Returns once the bill can't be lost: the store has it, or a router in
+    /// another data centre has a copy.
+    pub(crate) async fn safe(self) {
+        let heard = async |rx: oneshot::Receiver<()>| {
+            if rx.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = heard(self.durable) => {}
+            () = heard(self.copied) => {}
+        }
+    }
 }
 
 /// Handles to all shards.
@@ -95,13 +139,9 @@
 
 impl LedgerHandle {
     /// Starts the controllers of all shards.
-    pub(crate) fn spawn(
-        settings: &LedgerSettings,
-        path: &Arc<dyn LedgerPath>,
-        metrics: &Arc<Metrics>,
-    ) -> Self {
+    pub(crate) fn spawn(settings: &LedgerSettings, ways: &Ways) -> Self {
         let shards = (0..settings.shards)
-            .map(|shard| ShardController::spawn(shard, settings, path.clone(), metrics.clone()))
+            .map(|shard| ShardController::spawn(shard, settings, ways.clone()))
             .collect();
         Self {
             shards,
@@ -184,16 +224,18 @@
     /// Ends a hold with its bill.
     pub(crate) async fn settle(&self, mut hold: Hold, bill: Bill) -> Settling {
         let (tx, durable) = oneshot::channel();
+        let (copied_tx, copied) = oneshot::channel();
         if let Some(reservation) = hold.reservation.take() {
             let settle = Settle {
                 incarnation: hold.incarnation,
                 reservation,
                 bill,
                 tx,
+                copied_tx,
             };
             let _ = hold.shard.tell(settle).await;
         }
-        Settling { durable }
+        Settling { durable, copied }
     }
 
     /// Ends a hold whose claimed work certainly never ran.
@@ -217,7 +259,6 @@
         }
     }
 
-    #[expect(dead_code, reason = "the peer listener calls it")]
     /// Gives back what is idle of a budget that is short elsewhere, and
     /// returns once the record knows.
     pub(crate) async fn recall(&self, shard: u16, budget: BudgetName) {
--- a/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
@@ -3,10 +3,16 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use peridotslip::ledger::{Report, ReportReply};
+use peridotslip::{
+    ledger::{Report, ReportReply},
+    prelude::*,
+};
 use peridotslip_platform::Store;
 
-use super::{Error, LedgerPath, Result, writer::Writer};
+use super::{
+    Error, LedgerPath, Result,
+    writer::{Holder, Writer},
+};
 use crate::metrics::Metrics;
 
 /// Writers for all shards, in this process.
@@ -15,20 +21,49 @@
 }
 
 impl Direct {
-    pub(crate) fn spawn(shards: u16, store: &Arc<dyn Store>, metrics: &Arc<Metrics>) -> Self {
+    pub(crate) fn spawn(
+        firm: &str,
+        shards: u16,
+        store: &Arc<dyn Store>,
+        metrics: &Arc<Metrics>,
+    ) -> Self {
+        let key = |shard| format!("ledger/{firm}/{shard}");
         let writers = (0..shards)
-            .map(|shard| Writer::spawn(shard, store.clone(), metrics.clone()))
+            .map(|shard| Writer::spawn(key(shard), store.clone(), metrics.clone()))
             .collect();
         Self { writers }
     }
 }
 
+impl Direct {
+    fn writer(&self, shard: u16) -> Result<&Writer> {
+        let missing = || Error::Unreachable(format!("no shard {shard}"));
+        self.writers.get(usize::from(shard)).ok_or_else(missing)
+    }
+
+    /// Applies reports in this process.
+    pub(crate) async fn exchange_here(
+        &self,
+        shard: u16,
+        reports: Vec<Report>,
+    ) -> Result<Vec<ReportReply>> {
+        self.writer(shard)?.submit(reports).await
+    }
+
+    /// Who holds grants of a shard, as the record says.
+    pub(super) async fn holders(&self, shard: u16) -> Result<Vec<Holder>> {
+        self.writer(shard)?.holders().await
+    }
+
+    /// Ends an incarnation in a shard's record.
+    pub(super) async fn release(&self, shard: u16, incarnation: Incarnation) -> Result<()> {
+        self.writer(shard)?.release(incarnation).await
+    }
+}
+
 #[async_trait]
 impl LedgerPath for Direct {
     async fn exchange(&self, shard: u16, reports: Vec<Report>) -> Result<Vec<ReportReply>> {
-        match self.writers.get(usize::from(shard)) {
-            Some(writer) => writer.submit(reports).await,
-            None => Err(Error::Unreachable(format!("no shard {shard}"))),
-        }
+        self.exchange_here(shard, reports).await
     }
 }
--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -1,7 +1,7 @@
 //! The controller of one ledger shard.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,11 +15,12 @@
 use peridotslip::{
     ledger::{Claim, Report, ReportReply, Wallet},
     prelude::*,
+    witness::{Copy, CopyId},
 };
 use tokio::sync::oneshot;
 use uuid::Uuid;
 
-use super::{LedgerPath, Result, exhausted, unavailable};
+use super::{Result, Ways, exhausted, unavailable};
 use crate::{clock, metrics::Metrics, problem, settings::LedgerSettings};
 
 /// How often idle grants are looked at, in milliseconds.
@@ -49,6 +50,7 @@
     pub(crate) reservation: Reservation,
     pub(crate) bill: Bill,
     pub(crate) tx: oneshot::Sender<()>,
+    pub(crate) copied_tx: oneshot::Sender<()>,
 }
 
 pub(crate) struct Cancel {
@@ -74,18 +76,40 @@
 
 struct Exchanged(Result<Vec<ReportReply>>);
 
+struct Recalled(BudgetName);
+
 struct Waiting {
     request: ReserveTokens,
     since: Instant,
-    /// Whether the record has answered this need at least once.
-    asked: bool,
+    stage: Stage,
+}
+
+/// How far the search for a waiting request's tokens has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The record has not been asked for these tokens.
+    New,
+    /// A report that tells the need is on its way.
+    Asked,
+    /// The record had too few free; other routers are giving back.
+    Recalling,
+    /// Other routers have given back what they held idle.
+    Recalled,
+}
+
+/// What a record last said of a budget.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    free: u64,
+    held_by_others: u64,
+    holders: Vec<Incarnation>,
 }
 
 /// Holds a wallet and exchanges its reports, one exchange at a time.
 #[derive(Actor)]
 pub(crate) struct ShardController {
     shard: u16,
-    path: Arc<dyn LedgerPath>,
+    ways: Ways,
     metrics: Arc<Metrics>,
     group: Duration,
     wallet: Wallet,
@@ -94,6 +118,10 @@
     waiting: VecDeque<Waiting>,
     claims: HashMap<(RequestKey, u64), oneshot::Sender<Option<ClaimVerdict>>>,
     settling: HashMap<(Incarnation, u64), oneshot::Sender<()>>,
+    /// Budgets that are being recalled from other routers.
+    recalling: HashSet<BudgetName>,
+    /// What the record last said of budgets.
+    told: HashMap<BudgetName, Told>,
     recalls: Vec<oneshot::Sender<()>>,
     recalls_in_exchange: Vec<oneshot::Sender<()>>,
     closing: Vec<oneshot::Sender<()>>,
@@ -102,27 +130,20 @@
     last_attempt: u64,
 }
 
-fn new_wallet() -> Wallet {
-    Wallet::new(Incarnation::from(Uuid::now_v7().as_u128()))
-}
-
 impl ShardController {
-    pub(super) fn spawn(
-        shard: u16,
-        settings: &LedgerSettings,
-        path: Arc<dyn LedgerPath>,
-        metrics: Arc<Metrics>,
-    ) -> ActorRef<Self> {
+    pub(super) fn spawn(shard: u16, settings: &LedgerSettings, ways: Ways) -> ActorRef<Self> {
         let controller = Self {
             shard,
-            path,
-            metrics,
+            metrics: ways.metrics.clone(),
             group: Duration::from_millis(settings.group_ms),
-            wallet: new_wallet(),
+            wallet: Wallet::new(ways.me).at(&ways.address),
+            ways,
             retired: Vec::new(),
             waiting: VecDeque::new(),
             claims: HashMap::new(),
             settling: HashMap::new(),
+            recalling: HashSet::new(),
+            told: HashMap::new(),
             recalls: Vec::new(),
             recalls_in_exchange: Vec::new(),
             closing: Vec::new(),
@@ -166,14 +187,33 @@
             return;
         }
         self.exchanging = true;
+        for waiting in &mut self.waiting {
+            if waiting.stage == Stage::New {
+                waiting.stage = Stage::Asked;
+            }
+        }
         self.recalls_in_exchange.append(&mut self.recalls);
-        let (path, shard, me) = (self.path.clone(), self.shard, me.clone());
+        let (path, shard, me) = (self.ways.path.clone(), self.shard, me.clone());
         tokio::spawn(async move {
             let result = path.exchange(shard, reports).await;
             let _ = me.tell(Exchanged(result)).await;
         });
     }
 
+    /// Starts or plans the next exchange, as what is outstanding needs it.
+    fn go_on(&mut self, me: &ActorRef<Self>) {
+        let new = |waiting: &Waiting| waiting.stage == Stage::New;
+        let urgent =
+            !self.claims.is_empty() || !self.closing.is_empty() || self.waiting.iter().any(new);
+        if urgent {
+            self.exchange(me);
+        } else if !self.waiting.is_empty() {
+            self.exchange_after(me, Duration::from_millis(RECALL_PAUSE_MS));
+        } else if !self.settling.is_empty() {
+            self.exchange_after(me, self.group);
+        }
+    }
+
     /// Starts an exchange after `pause`, unless one is planned already.
     fn exchange_after(&mut self, me: &ActorRef<Self>, pause: Duration) {
         if self.due {
@@ -197,7 +237,7 @@
         }
     }
 
-    fn accept(&mut self, replies: &[ReportReply], now: Instant) {
+    fn accept(&mut self, replies: &[ReportReply], me: &ActorRef<Self>) {
         let mut retire = false;
         for reply in replies {
             let Some(wallet) = self.wallet_of(reply.incarnation) else {
@@ -207,6 +247,11 @@
             let accepted = wallet.accept(reply);
             for (seq, verdict) in accepted.settled {
                 self.metrics.event(verdict.as_str(), 1);
+                self.ways.witness.safe(CopyId {
+                    shard: self.shard,
+                    incarnation,
+                    seq,
+                });
                 if let Some(tx) = self.settling.remove(&(incarnation, seq)) {
                     let _ = tx.send(());
                 }
@@ -216,21 +261,31 @@
                     let _ = tx.send(Some(verdict));
                 }
             }
+            for grant in &reply.grants {
+                let told = Told {
+                    free: grant.free,
+                    held_by_others: grant.held_by_others,
+                    holders: grant.holders.clone(),
+                };
+                self.told.insert(grant.budget.clone(), told);
+            }
             retire |= reply.closed && incarnation == self.wallet.incarnation();
         }
         if retire && self.closing.is_empty() {
             self.metrics.event("incarnation-closed-by-others", 1);
             log::error!(shard = self.shard; "this router was taken for dead; its grants are void");
-            let old = std::mem::replace(&mut self.wallet, new_wallet());
+            let next = Incarnation::from(Uuid::now_v7().as_u128());
+            let fresh = Wallet::new(next).at(&self.ways.address);
+            let old = std::mem::replace(&mut self.wallet, fresh);
             self.retired.push(old);
         }
         self.retired.retain(|wallet| !wallet.is_settled());
-        self.serve_waiting(now);
+        self.serve_waiting(me);
     }
 
     /// Gives granted tokens to waiting requests, oldest first, and refuses
-    /// those that have waited long enough.
-    fn serve_waiting(&mut self, now: Instant) {
+    /// those for which there are none.
+    fn serve_waiting(&mut self, me: &ActorRef<Self>) {
         let now_ms = clock::monotonic_ms();
         for mut waiting in std::mem::take(&mut self.waiting) {
             if waiting.request.tx.is_closed() {
@@ -240,18 +295,63 @@
             match self.wallet.reserve(&request.budget, request.tokens, now_ms) {
                 Reserve::Held(reservation) => self.hand_over(waiting.request, reservation),
                 Reserve::Short => {
-                    let waited = now.duration_since(waiting.since) >= request.wait;
-                    if waiting.asked && waited {
-                        let _ = waiting.request.tx.send(Err(exhausted()));
-                    } else {
-                        waiting.asked = true;
+                    if self.may_still_find(&mut waiting, me) {
                         self.waiting.push_back(waiting);
+                    } else {
+                        self.refuse(waiting);
                     }
                 }
             }
         }
     }
 
+    /// Goes on looking for a request's tokens; `false` if there is nowhere
+    /// left to look.
+    fn may_still_find(&mut self, waiting: &mut Waiting, me: &ActorRef<Self>) -> bool {
+        if waiting.since.elapsed() >= waiting.request.wait {
+            return false;
+        }
+        let budget = &waiting.request.budget;
+        match waiting.stage {
+            Stage::Recalled => false,
+            Stage::Recalling | Stage::New => true,
+            Stage::Asked => {
+                let told = self.told.get(budget).cloned().unwrap_or_default();
+                // Granted to this request and taken by a quicker one.
+                if told.free >= waiting.request.tokens {
+                    waiting.stage = Stage::New;
+                    return true;
+                }
+                if told.held_by_others == 0 {
+                    return false;
+                }
+                waiting.stage = Stage::Recalling;
+                if self.recalling.insert(budget.clone()) {
+                    let (recall, shard) = (self.ways.recall.clone(), self.shard);
+                    let (budget, me) = (budget.clone(), me.clone());
+                    let holders = told.holders;
+                    tokio::spawn(async move {
+                        recall.recall(shard, budget.clone(), holders).await;
+                        let _ = me.tell(Recalled(budget)).await;
+                    });
+                }
+                true
+            }
+        }
+    }
+
+    /// Refuses a request for its budget, counting it as false if tokens were
+    /// left with other routers.
+    fn refuse(&mut self, waiting: Waiting) {
+        let told = self.told.get(&waiting.request.budget);
+        let held = told.map_or(0, |told| told.held_by_others);
+        if held > 0 {
+            self.metrics.event("false-refusal", 1);
+            self.metrics.event("false-refusal-tokens", held);
+        }
+        let _ = waiting.request.tx.send(Err(exhausted()));
+    }
+
     fn hand_over(&mut self, request: ReserveTokens, reservation: Reservation) {
         let held = (self.wallet.incarnation(), reservation);
         if let Err(Ok((_, reservation))) = request.tx.send(Ok(held)) {
@@ -303,7 +403,7 @@
                 self.waiting.push_back(Waiting {
                     request,
                     since: Instant::now(),
-                    asked: false,
+                    stage: Stage::New,
                 });
                 self.exchange(cx.actor_ref());
             }
@@ -335,6 +435,18 @@
             return;
         };
         let seq = wallet.settle(msg.reservation, msg.bill, clock::monotonic_ms());
+        let incarnation = msg.incarnation;
+        if let Some(settlement) = wallet.unconfirmed(seq).cloned() {
+            let shard = self.shard;
+            let id = CopyId {
+                shard,
+                incarnation,
+                seq,
+            };
+            self.ways
+                .witness
+                .send(Copy { id, settlement }, msg.copied_tx);
+        }
         self.settling.insert((msg.incarnation, seq), msg.tx);
         self.exchange_after(cx.actor_ref(), self.group);
     }
@@ -392,6 +504,21 @@
     }
 }
 
+impl Message<Recalled> for ShardController {
+    type Reply = ();
+
+    async fn handle(&mut self, Recalled(budget): Recalled, cx: &mut Context<Self, ()>) {
+        self.recalling.remove(&budget);
+        for waiting in &mut self.waiting {
+            let same = waiting.request.budget == budget;
+            if same && waiting.stage == Stage::Recalling {
+                waiting.stage = Stage::Recalled;
+            }
+        }
+        self.exchange(cx.actor_ref());
+    }
+}
+
 impl Message<Exchanged> for ShardController {
     type Reply = ();
 
@@ -399,20 +526,14 @@
         self.exchanging = false;
         match result {
             Ok(replies) => {
-                self.accept(&replies, Instant::now());
+                self.accept(&replies, cx.actor_ref());
                 self.confirm_recalls();
                 if self.wallet.is_closed() {
                     for tx in self.closing.drain(..) {
                         let _ = tx.send(());
                     }
-                } else if !self.claims.is_empty() || !self.closing.is_empty() {
-                    self.exchange(cx.actor_ref());
-                } else if !self.waiting.is_empty() {
-                    let fresh = self.waiting.iter().any(|waiting| !waiting.asked);
-                    let pause = if fresh { 0 } else { RECALL_PAUSE_MS };
-                    self.exchange_after(cx.actor_ref(), Duration::from_millis(pause));
-                } else if !self.settling.is_empty() {
-                    self.exchange_after(cx.actor_ref(), self.group);
+                } else {
+                    self.go_on(cx.actor_ref());
                 }
             }
             Err(err) => {
--- a/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
@@ -25,21 +25,42 @@
 /// Swaps tried for one group before its submitters are told to try again.
 const MAX_TRIES: u32 = 16;
 
+/// A holder of grants, as the record knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Holder {
+    pub(super) incarnation: Incarnation,
+    pub(super) address: String,
+    /// Tokens held over all budgets.
+    pub(super) tokens: u64,
+}
+
+/// What to do with the record.
+enum Change {
+    Apply(Vec<Report>),
+    Release(Incarnation),
+}
+
 struct Submission {
-    reports: Vec<Report>,
+    change: Change,
     tx: oneshot::Sender<Result<Vec<ReportReply>>>,
 }
 
+enum Order {
+    Change(Submission),
+    Holders(oneshot::Sender<Result<Vec<Holder>>>),
+}
+
 /// A handle to a shard's writing task.
 pub(crate) struct Writer {
-    tx: mpsc::Sender<Submission>,
+    tx: mpsc::Sender<Order>,
 }
 
 impl Writer {
-    pub(crate) fn spawn(shard: u16, store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
+    /// Starts writing the record at `key`.
+    pub(crate) fn spawn(key: String, store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
         let (tx, rx) = mpsc::channel(MAX_WAITING);
         let task = Task {
-            key: format!("ledger/{shard}"),
+            key,
             store,
             metrics,
             known: None,
@@ -50,10 +71,29 @@
 
     /// Applies reports; returns once the store holds the result.
     pub(crate) async fn submit(&self, reports: Vec<Report>) -> Result<Vec<ReportReply>> {
+        self.change(Change::Apply(reports)).await
+    }
+
+    /// Ends an incarnation; returns once the store holds the result.
+    pub(super) async fn release(&self, incarnation: Incarnation) -> Result<()> {
+        self.change(Change::Release(incarnation)).await.map(drop)
+    }
+
+    /// Reads the record anew and names the holders of grants.
+    pub(super) async fn holders(&self) -> Result<Vec<Holder>> {
+        let (tx, rx) = oneshot::channel();
+        self.order(Order::Holders(tx), rx).await
+    }
+
+    async fn change(&self, change: Change) -> Result<Vec<ReportReply>> {
         let (tx, rx) = oneshot::channel();
+        self.order(Order::Change(Submission { change, tx }), rx)
+            .await
+    }
+
+    async fn order<T>(&self, order: Order, rx: oneshot::Receiver<Result<T>>) -> Result<T> {
         let gone = || Error::Unreachable("the writer has stopped".to_owned());
-        let submission = Submission { reports, tx };
-        self.tx.send(submission).await.map_err(|_| gone())?;
+        self.tx.send(order).await.map_err(|_| gone())?;
         rx.await.unwrap_or_else(|_| Err(gone()))
     }
 }
@@ -67,9 +107,19 @@
 }
 
 impl Task {
-    async fn run(mut self, mut rx: mpsc::Receiver<Submission>) {
-        let mut group = Vec::new();
-        while rx.recv_many(&mut group, MAX_GROUP).await > 0 {
+    async fn run(mut self, mut rx: mpsc::Receiver<Order>) {
+        let mut orders = Vec::new();
+        while rx.recv_many(&mut orders, MAX_GROUP).await > 0 {
+            let mut group = Vec::new();
+            for order in orders.drain(..) {
+                match order {
+                    Order::Change(submission) => group.push(submission),
+                    Order::Holders(tx) => drop(tx.send(self.holders().await)),
+                }
+            }
+            if group.is_empty() {
+                continue;
+            }
             match self.write(&group).await {
                 Ok(replies) => {
                     for (submission, replies) in group.drain(..).zip(replies) {
@@ -94,7 +144,7 @@
             let now_ms = clock::unix_ms();
             let replies = group
                 .iter()
-                .map(|submission| apply(&mut next, &submission.reports, now_ms))
+                .map(|submission| apply(&mut next, &submission.change, now_ms))
                 .collect();
             if next.same_content(&record) {
                 return Ok(replies);
@@ -141,6 +191,20 @@
         Ok(known)
     }
 
+    async fn holders(&mut self) -> Result<Vec<Holder>> {
+        self.known = None;
+        let (_, record) = self.read().await?;
+        let holders = record
+            .open_incarnations()
+            .map(|(incarnation, address)| Holder {
+                incarnation,
+                address: address.to_owned(),
+                tokens: record.held_by(incarnation),
+            })
+            .collect();
+        Ok(holders)
+    }
+
     /// Checks what must never happen.
     fn note(&self, record: &ShardRecord) {
         let overspend: u64 = record
@@ -154,9 +218,15 @@
     }
 }
 
-fn apply(record: &mut ShardRecord, reports: &[Report], now_ms: u64) -> Vec<ReportReply> {
-    reports
-        .iter()
-        .map(|report| record.apply(report, now_ms))
-        .collect()
+fn apply(record: &mut ShardRecord, change: &Change, now_ms: u64) -> Vec<ReportReply> {
+    match change {
+        Change::Apply(reports) => reports
+            .iter()
+            .map(|report| record.apply(report, now_ms))
+            .collect(),
+        Change::Release(incarnation) => {
+            record.release(*incarnation, now_ms);
+            Vec::new()
+        }
+    }
 }
--- /dev/null
+++ b/crates/peridotslip-daemon/src/controllers/witness.rs
@@ -0,0 +1,201 @@
+//! Copies of bills: sent to a router in another data centre, and kept for
+//! others.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use peridotslip::{
+    members::{Node, rank},
+    witness::{Copies, Copy, CopyId},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{ledger::LedgerPath, members::MembersHandle};
+use crate::{
+    clock,
+    metrics::Metrics,
+    peer::{Ask, PeerClient},
+};
+
+/// Copies that go in one message.
+const MAX_BATCH: usize = 512;
+/// Longest wait for a router to take copies, in milliseconds.
+const KEEP_TIMEOUT_MS: u64 = 300;
+/// Routers that are tried for one batch.
+const MAX_TRIES: usize = 2;
+/// How often safe copies are called off and overdue ones reported, in
+/// milliseconds.
+const SWEEP_MS: u64 = 1_000;
+
+struct ToKeep {
+    copy: Copy,
+    tx: oneshot::Sender<()>,
+}
+
+/// Both sides of the copies: those of this router at others, and those of
+/// others here.
+#[derive(Clone)]
+pub(crate) struct WitnessHandle {
+    tx: mpsc::UnboundedSender<ToKeep>,
+    sent: Arc<Mutex<Sent>>,
+    held: Arc<Mutex<Copies>>,
+}
+
+/// Where this router's copies are.
+#[derive(Default)]
+struct Sent {
+    at: HashMap<CopyId, String>,
+    /// Copies to call off, by holder.
+    safe: HashMap<String, Vec<CopyId>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+impl WitnessHandle {
+    pub(crate) fn spawn(members: MembersHandle, client: PeerClient, metrics: Arc<Metrics>) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let handle = Self {
+            tx,
+            sent: Arc::default(),
+            held: Arc::default(),
+        };
+        let sender = Sender {
+            members,
+            client,
+            metrics,
+            sent: handle.sent.clone(),
+        };
+        tokio::spawn(sender.run(rx));
+        handle
+    }
+
+    /// Has a copy kept elsewhere; `tx` hears of it once it is.
+    pub(crate) fn send(&self, copy: Copy, tx: oneshot::Sender<()>) {
+        let _ = self.tx.send(ToKeep { copy, tx });
+    }
+
+    /// Notes that the record has a settlement.
+    pub(crate) fn safe(&self, id: CopyId) {
+        let mut sent = lock(&self.sent);
+        if let Some(holder) = sent.at.remove(&id) {
+            sent.safe.entry(holder).or_default().push(id);
+        }
+    }
+
+    /// Keeps copies for another router.
+    pub(crate) fn keep(&self, copies: Vec<Copy>, safe: &[CopyId], now_ms: u64) {
+        let mut held = lock(&self.held);
+        held.keep(copies, now_ms);
+        held.drop_safe(safe);
+    }
+
+    /// Reports overdue copies in their origins' names, forever.
+    pub(crate) async fn report_overdue(self, path: Arc<dyn LedgerPath>, metrics: Arc<Metrics>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+            let overdue = lock(&self.held).overdue(clock::monotonic_ms());
+            for (shard, report) in overdue {
+                let incarnation = report.incarnation;
+                let ids: Vec<CopyId> = report
+                    .settlements
+                    .iter()
+                    .map(|settlement| CopyId {
+                        shard,
+                        incarnation,
+                        seq: settlement.seq,
+                    })
+                    .collect();
+                if path.exchange(shard, vec![report]).await.is_ok() {
+                    metrics.event("bill-reported-for-another", ids.len() as u64);
+                    lock(&self.held).drop_safe(&ids);
+                }
+            }
+        }
+    }
+}
+
+struct Sender {
+    members: MembersHandle,
+    client: PeerClient,
+    metrics: Arc<Metrics>,
+    sent: Arc<Mutex<Sent>>,
+}
+
+impl Sender {
+    async fn run(self, mut rx: mpsc::UnboundedReceiver<ToKeep>) {
+        let mut batch = Vec::new();
+        loop {
+            let sweep = Duration::from_millis(SWEEP_MS);
+            let received = rx.recv_many(&mut batch, MAX_BATCH);
+            match tokio::time::timeout(sweep, received).await {
+                Ok(0) => return,
+                Ok(_) => self.send(std::mem::take(&mut batch)).await,
+                Err(_) => self.call_off().await,
+            }
+        }
+    }
+
+    /// Has a batch kept by the first router that takes it.
+    async fn send(&self, batch: Vec<ToKeep>) {
+        for holder in self.holders().into_iter().take(MAX_TRIES) {
+            let copies: Vec<Copy> = batch.iter().map(|kept| kept.copy.clone()).collect();
+            let ids: Vec<CopyId> = copies.iter().map(|copy| copy.id).collect();
+            let safe = lock(&self.sent)
+                .safe
+                .remove(&holder.address)
+                .unwrap_or_default();
+            // Before they are sent: the record may have them sooner.
+            let placed = ids.iter().map(|id| (*id, holder.address.clone()));
+            lock(&self.sent).at.extend(placed);
+            let ask = Ask::Keep { copies, safe };
+            let timeout = Duration::from_millis(KEEP_TIMEOUT_MS);
+            if self
+                .client
+                .ask(&holder.address, &ask, timeout)
+                .await
+                .is_err()
+            {
+                lock(&self.sent).at.retain(|id, _| !ids.contains(id));
+                self.members.silent(&holder.address).await;
+                continue;
+            }
+            for kept in batch {
+                let _ = kept.tx.send(());
+            }
+            return;
+        }
+        self.metrics.event("bill-without-copy", batch.len() as u64);
+    }
+
+    /// Calls off safe copies while nothing else is sent.
+    async fn call_off(&self) {
+        let all = std::mem::take(&mut lock(&self.sent).safe);
+        for (holder, safe) in all {
+            let ask = Ask::Keep {
+                copies: Vec::new(),
+                safe,
+            };
+            let timeout = Duration::from_millis(KEEP_TIMEOUT_MS);
+            let _ = self.client.ask(&holder, &ask, timeout).await;
+        }
+    }
+
+    /// Routers that may keep copies: those of other data centres first, then
+    /// in an order of this router's own.
+    fn holders(&self) -> Vec<Node> {
+        let view = self.members.view();
+        let mut others: Vec<Node> = view.others().cloned().collect();
+        others.sort_by_key(|node| {
+            let same = node.data_centre == view.me.data_centre;
+            (same, rank(&view.me.address, &node.address))
+        });
+        others
+    }
+}
--- a/crates/peridotslip-daemon/src/filters/authenticate.rs
+++ b/crates/peridotslip-daemon/src/filters/authenticate.rs
@@ -23,8 +23,10 @@
 
 /// The organisation of the caller's key.
 pub(super) fn organisation(cx: &Cx) -> Result<OrganisationName> {
-    let value = cx.incoming.headers.get(AUTHORIZATION);
-    let key = value.and_then(|value| value.to_str().ok()).and_then(bearer);
+    let mut values = cx.incoming.headers.get_all(AUTHORIZATION).iter();
+    // Two credentials leave open whose money is meant.
+    let only = values.next().filter(|_| values.next().is_none());
+    let key = only.and_then(|value| value.to_str().ok()).and_then(bearer);
     key.and_then(|key| cx.index.organisation(key))
         .cloned()
         .ok_or_else(|| Refused::not_run(Refusal::Unauthenticated))
--- a/crates/peridotslip-daemon/src/filters/dispatch.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch.rs
@@ -40,6 +40,10 @@
 #[async_trait]
 impl Filter for Dispatch {
     async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
+        if let Some((server, parts)) = cx.adopted.clone() {
+            stream::adopt(cx, server, parts).await?;
+            return next.call(cx).await;
+        }
         let mut tried = Vec::new();
         let mut last = None;
         for _ in 0..MAX_TRIES {
--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use axum::http::HeaderValue;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use peridotslip::{balance::Finish, prelude::*};
@@ -14,7 +15,7 @@
         forward,
         sse::{self, Kind, Splitter},
     },
-    context::{Cx, HeldBack, Usage},
+    context::{Cx, HeldBack, SERVER_HEADER, Usage},
     controllers::backends::Chosen,
     problem::{Refused, Result},
 };
@@ -51,14 +52,36 @@
 /// Passes a stream on, resuming it at its engine if the connection breaks or
 /// goes silent.
 pub(super) async fn pass(cx: &mut Cx, chosen: Chosen, first: Response) -> Result<Tried> {
-    let head = Head {
+    let mut head = Head {
         status: first.status(),
         headers: forward::answer_headers(first.headers()),
     };
+    if cx.forwarded {
+        let server = HeaderValue::from_str(&chosen.server).map_err(|_| give_up_word())?;
+        head.headers.insert(SERVER_HEADER, server);
+    }
     cx.shared.metrics.first_byte(cx.arrived.elapsed());
     cx.answer.set_head(Ok(head));
-    let mut seen = Seen::default();
-    let mut connection = Some(first);
+    follow(cx, chosen, Some(first), Seen::default()).await
+}
+
+/// Goes on with a stream whose first parts came through a router that is
+/// lost.
+pub(super) async fn adopt(cx: &mut Cx, server: String, parts: u64) -> Result<()> {
+    cx.shared.metrics.event("stream-adopted", 1);
+    let seen = Seen { parts, usage: None };
+    let chosen = cx.shared.controllers.backends.adopt(server);
+    follow(cx, chosen, None, seen).await.map(drop)
+}
+
+/// Passes connection after connection on until the end mark.
+async fn follow(
+    cx: &mut Cx,
+    chosen: Chosen,
+    first: Option<Response>,
+    mut seen: Seen,
+) -> Result<Tried> {
+    let mut connection = first;
     let mut resumes = 0;
     loop {
         let ended = match connection.take() {
@@ -178,7 +201,11 @@
 fn give_up(cx: &Cx, chosen: Chosen) -> Result<Tried> {
     cancel_in_background(cx, &chosen.server);
     chosen.finish(Finish::Failed);
-    Err(Refused::unknown(Refusal::BackendFailed))
+    Err(give_up_word())
+}
+
+fn give_up_word() -> Refused {
+    Refused::unknown(Refusal::BackendFailed)
 }
 
 async fn resume(cx: &Cx, server: &str, from: u64) -> Option<Response> {
--- a/crates/peridotslip-daemon/src/filters/settle.rs
+++ b/crates/peridotslip-daemon/src/filters/settle.rs
@@ -51,7 +51,7 @@
     let metrics = &cx.shared.metrics;
     let since = Instant::now();
     let limit = Duration::from_millis(MAX_WAIT_MS);
-    if tokio::time::timeout(limit, settling.durable).await.is_err() {
+    if tokio::time::timeout(limit, settling.safe()).await.is_err() {
         metrics.event("answer-released-before-bill-was-safe", 1);
         log::warn!(request = cx.id.as_str(); "answer released before its bill was safe");
     }
--- a/crates/peridotslip-daemon/src/main.rs
+++ b/crates/peridotslip-daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod filters;
 mod logging;
 mod metrics;
+mod peer;
 mod problem;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/peridotslip-daemon/src/peer/wire.rs
@@ -0,0 +1,79 @@
+//! What routers ask each other.
+
+use peridotslip::{
+    ledger::{Report, ReportReply},
+    members::Rumour,
+    prelude::*,
+    witness::{Copy, CopyId},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// A question with one answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Ask {
+    /// Are you there? With rumours; `all` asks for everything known.
+    Probe { rumours: Vec<Rumour>, all: bool },
+    /// Does this other router answer you?
+    ProbeFor { address: String },
+    /// Apply these reports to a shard's record.
+    Exchange { shard: u16, reports: Vec<Report> },
+    /// Keep copies of bills, and drop those that are safe.
+    Keep {
+        copies: Vec<Copy>,
+        safe: Vec<CopyId>,
+    },
+    /// Give back what is idle of a budget.
+    Recall { shard: u16, budget: BudgetName },
+    /// Which tables have you in force?
+    Head,
+    /// Some pages of tables.
+    Pages { ids: Vec<String> },
+}
+
+/// An answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Answer {
+    Probe {
+        rumours: Vec<Rumour>,
+    },
+    Reached(bool),
+    Exchanged(Option<Vec<ReportReply>>),
+    Done,
+    /// The head's bytes, if there are tables in force.
+    Head(Option<Vec<u8>>),
+    Pages(Vec<(String, Vec<u8>)>),
+}
+
+/// A caller's request that another router answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ForwardedRequest {
+    pub(crate) method: String,
+    pub(crate) uri: String,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+    pub(crate) body: Vec<u8>,
+}
+
+/// The path of a question's stream, for whoever looks at a trace.
+pub(crate) fn ask_path(ask: &Ask) -> &'static str {
+    match ask {
+        Ask::Probe { .. } => "/probe",
+        Ask::ProbeFor { .. } => "/probe-for",
+        Ask::Exchange { .. } => "/exchange",
+        Ask::Keep { .. } => "/keep",
+        Ask::Recall { .. } => "/recall",
+        Ask::Head => "/head",
+        Ask::Pages { .. } => "/pages",
+    }
+}
+
+/// The path on which requests are forwarded.
+pub(crate) const FORWARD_PATH: &str = "/forward";
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default()
+}
+
+pub(super) fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<T> {
+    let (value, used) = bincode::serde::decode_from_slice(buf, bincode::config::standard()).ok()?;
+    (used == buf.len()).then_some(value)
+}
--- a/crates/peridotslip-daemon/src/server.rs
+++ b/crates/peridotslip-daemon/src/server.rs
@@ -1,7 +1,6 @@
 //! The listeners for callers and operators.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -28,7 +27,7 @@
 
 use crate::{
     answer::Follower,
-    context::{Cx, Incoming, Shared},
+    context::{Cx, HOME_HEADER, Incoming, Shared},
     filters::Chain,
     problem::{Refused, Result},
     settings::Limits,
@@ -123,7 +122,7 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     if let Ok(id) = HeaderValue::from_str(id) {
-        response.headers_mut().insert("x-peridotslip-request", id);
+        response.headers_mut().insert(HOME_HEADER, id);
     }
     response
 }
@@ -195,7 +194,7 @@
 ///
 /// An I/O error if the address can't be listened on.
 pub(crate) async fn serve_operators(
-    listen: SocketAddr,
+    listen: &str,
     shared: Arc<Shared>,
     stopping: Arc<Stopping>,
 ) -> std::io::Result<JoinHandle<()>> {
@@ -205,6 +204,7 @@
         .route("/readyz", get(readyz))
         .route("/metrics", get(scrape))
         .route("/status", get(status))
+        .route("/members", get(members))
         .with_state(Operators { shared, stopping });
     Ok(tokio::spawn(async move {
         if let Err(err) = axum::serve(listener, app).await {
@@ -230,6 +230,21 @@
     response
 }
 
+async fn members(State(operators): State<Operators>) -> Json<Vec<serde_json::Value>> {
+    let view = operators.shared.controllers.members.view();
+    let rows = view.all.iter().map(|(node, state)| {
+        json!({
+            "address": node.address,
+            "vm": node.vm,
+            "data_centre": node.data_centre,
+            "state": state,
+            "revision": node.revision,
+            "incarnation": node.incarnation.to_string(),
+        })
+    });
+    Json(rows.collect())
+}
+
 async fn status(State(operators): State<Operators>) -> Json<serde_json::Value> {
     let shared = &operators.shared;
     let gauges = &shared.metrics.gauges;
--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -1,6 +1,7 @@
 //! The daemon's settings: a YAML file, checked whole at start.
 
 use std::{
+    fmt,
     net::SocketAddr,
     path::{Path, PathBuf},
 };
@@ -31,6 +32,29 @@
 /// The result of reading settings.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// An `IP:port`. It is taken as text and checked with the other rules, so that
+/// a wrong one is reported with its line.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Address(String);
+
+impl Address {
+    fn parsed(&self) -> Option<SocketAddr> {
+        self.0.parse().ok()
+    }
+
+    /// The text, for binding and connecting.
+    pub(crate) fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Everything that a router process is told at start.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,10 +69,9 @@
     pub(crate) store: StoreSettings,
     #[serde(default)]
     pub(crate) vm_list: Option<VmListSettings>,
-    #[expect(dead_code, reason = "the membership controller reads it")]
     /// Peer addresses to begin with, where there is no VM list.
     #[serde(default)]
-    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) peers: Vec<Address>,
     #[serde(default)]
     pub(crate) ledger: LedgerSettings,
     #[serde(default)]
@@ -65,16 +88,16 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Listen {
-    pub(crate) callers: SocketAddr,
-    pub(crate) operators: SocketAddr,
-    pub(crate) peers: SocketAddr,
+    pub(crate) callers: Address,
+    pub(crate) operators: Address,
+    pub(crate) peers: Address,
 }
 
 /// The platform's store.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct StoreSettings {
-    pub(crate) address: SocketAddr,
+    pub(crate) address: Address,
     #[serde(default = "default_store_timeout_ms")]
     pub(crate) timeout_ms: u64,
 }
@@ -87,7 +110,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct VmListSettings {
-    pub(crate) address: SocketAddr,
+    pub(crate) address: Address,
     #[serde(default = "default_vm_poll_ms")]
     pub(crate) poll_ms: u64,
 }
@@ -235,7 +258,7 @@
 
     pub(crate) fn parse(text: &str, file: &Path) -> Result<Self> {
         let settings: Self = serde_saphyr::from_str(text)
-            .map_err(|err| Error::Parse(file.to_owned(), err.to_string()))?;
+            .map_err(|err| Error::Parse(file.to_owned(), first_line(&err.to_string())))?;
         match settings.rules().into_iter().find(|(_, holds, _)| !holds) {
             None => Ok(settings),
             Some((field, _, remedy)) => {
@@ -247,9 +270,33 @@
 
     fn rules(&self) -> Vec<Rule> {
         let positive = "give a number above 0";
+        let address = "write `IP:port`";
         let listen = &self.listen;
+        let vm_list = self.vm_list.as_ref().map(|list| list.address.parsed());
         let policy = crate::backend::policy(&self.backends.policy).is_some();
         vec![
+            ("listen.callers", listen.callers.parsed().is_some(), address),
+            (
+                "listen.operators",
+                listen.operators.parsed().is_some(),
+                address,
+            ),
+            ("listen.peers", listen.peers.parsed().is_some(), address),
+            (
+                "store.address",
+                self.store.address.parsed().is_some(),
+                address,
+            ),
+            (
+                "vm_list.address",
+                vm_list.is_none_or(|list| list.is_some()),
+                address,
+            ),
+            (
+                "peers",
+                self.peers.iter().all(|peer| peer.parsed().is_some()),
+                address,
+            ),
             ("firm", !self.firm.is_empty(), "name the firm"),
             ("vm", !self.vm.is_empty(), "name this VM"),
             (
@@ -269,7 +316,10 @@
             ),
             (
                 "listen.peers",
-                !listen.peers.ip().is_unspecified(),
+                listen
+                    .peers
+                    .parsed()
+                    .is_none_or(|peers| !peers.ip().is_unspecified()),
                 "name the IP by which peers reach this VM",
             ),
             ("store.timeout_ms", self.store.timeout_ms > 0, positive),
@@ -333,6 +383,12 @@
     }
 }
 
+/// A parser's message without the excerpt that follows it.
+fn first_line(message: &str) -> String {
+    let line = message.lines().next().unwrap_or_default();
+    line.strip_prefix("error: ").unwrap_or(line).to_owned()
+}
+
 /// The line on which a dotted field stands, or its section's, or 1.
 fn line_of(text: &str, field: &str) -> usize {
     let mut line = 1;
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -5,12 +5,14 @@
     time::Duration,
 };
 
+use peridotslip::{members::Node, prelude::*};
 use peridotslip_platform::{HttpStore, HttpVmList, Store, VmList};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::{Semaphore, watch},
 };
+use uuid::Uuid;
 
 use crate::{
     context::Shared,
@@ -19,11 +21,14 @@
         backends::BackendsHandle,
         config::{self, ConfigHandle},
         dedupe::DedupeHandle,
-        ledger::{Direct, LedgerHandle, LedgerPath},
+        ledger::{Direct, LedgerHandle, LedgerPath, PeerRecall, ViaWriter, Ways, release_ended},
+        members::MembersHandle,
+        witness::WitnessHandle,
     },
     filters::Chain,
     logging,
     metrics::Metrics,
+    peer::{self, PeerClient},
     server::{self, Callers, Stopping},
     settings::Settings,
 };
@@ -51,7 +56,7 @@
     let mut term = signal(SignalKind::terminate())?;
     let metrics = Arc::new(Metrics::open()?);
     let store: Arc<dyn Store> = Arc::new(HttpStore::open(
-        &settings.store.address.to_string(),
+        settings.store.address.as_str(),
         Duration::from_millis(settings.store.timeout_ms),
     )?);
     let controllers = spawn_controllers(&settings, &store, &metrics)?;
@@ -63,14 +68,16 @@
     spawn_feeds(&shared, store)?;
     let stopping = Arc::new(Stopping::default());
     let listen = shared.settings.listen.clone();
-    let listener = TcpListener::bind(listen.callers).await?;
-    server::serve_operators(listen.operators, shared.clone(), stopping.clone()).await?;
+    let listener = TcpListener::bind(listen.callers.as_str()).await?;
+    let peer_listener = TcpListener::bind(listen.peers.as_str()).await?;
+    server::serve_operators(listen.operators.as_str(), shared.clone(), stopping.clone()).await?;
     let (stop_tx, stop_rx) = watch::channel(false);
     let callers = Callers {
         shared: shared.clone(),
         chain: Chain::new(),
         stopping: stopping.clone(),
     };
+    tokio::spawn(peer::serve(peer_listener, callers.clone()));
     let serving = tokio::spawn(server::serve_callers(listener, callers, stop_rx));
     log::info!(vm = shared.settings.vm.as_str(); "router started");
     tokio::select! {
@@ -79,6 +86,7 @@
     }
     log::info!("planned stop: readiness is off");
     stopping.announced.store(true, Ordering::Relaxed);
+    shared.controllers.members.leave().await;
     tokio::time::sleep(Duration::from_millis(shared.settings.shutdown.grace_ms)).await;
     stop_tx.send_replace(true);
     let limit = Duration::from_secs(shared.settings.shutdown.limit_s);
@@ -107,24 +115,87 @@
     metrics: &Arc<Metrics>,
 ) -> Result<Controllers, Error> {
     let limits = &settings.limits;
-    let path: Arc<dyn LedgerPath> = Arc::new(Direct::spawn(settings.ledger.shards, store, metrics));
+    let peers = PeerClient::new();
+    let me = node(settings);
+    let seeds: Vec<String> = settings.peers.iter().map(ToString::to_string).collect();
+    let members = MembersHandle::spawn(me.clone(), &seeds, peers.clone(), metrics.clone());
+    let shards = settings.ledger.shards;
+    let direct = Arc::new(Direct::spawn(&settings.firm, shards, store, metrics));
+    let path: Arc<dyn LedgerPath> = Arc::new(ViaWriter::new(
+        members.clone(),
+        peers.clone(),
+        direct.clone(),
+        metrics.clone(),
+    ));
+    let witness = WitnessHandle::spawn(members.clone(), peers.clone(), metrics.clone());
+    tokio::spawn(
+        witness
+            .clone()
+            .report_overdue(path.clone(), metrics.clone()),
+    );
+    let ways = Ways {
+        me: me.incarnation,
+        address: me.address,
+        path,
+        recall: Arc::new(PeerRecall {
+            members: members.clone(),
+            client: peers.clone(),
+        }),
+        witness: witness.clone(),
+        metrics: metrics.clone(),
+    };
     Ok(Controllers {
         config: ConfigHandle::spawn(metrics.clone()),
-        ledger: LedgerHandle::spawn(&settings.ledger, &path, metrics),
+        ledger: LedgerHandle::spawn(&settings.ledger, &ways),
+        direct,
+        members,
+        witness,
+        peers,
         backends: BackendsHandle::spawn(&settings.backends, metrics.clone())?,
         dedupe: DedupeHandle::open(limits.replay_bytes, limits.replay_ms, metrics.clone()),
         open_requests: Arc::new(Semaphore::new(limits.max_open_requests)),
     })
 }
 
+/// This process, as other routers know it.
+fn node(settings: &Settings) -> Node {
+    Node {
+        address: settings.listen.peers.to_string(),
+        incarnation: Incarnation::from(Uuid::now_v7().as_u128()),
+        firm: settings.firm.clone(),
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        revision: Revision::default(),
+    }
+}
+
 /// Starts the tasks that feed the controllers from outside.
 fn spawn_feeds(shared: &Arc<Shared>, store: Arc<dyn Store>) -> Result<(), Error> {
-    let config = shared.controllers.config.clone();
-    tokio::spawn(config::watch_store(store, config, shared.metrics.clone()));
+    let controllers = &shared.controllers;
+    let (config, members) = (controllers.config.clone(), controllers.members.clone());
+    let metrics = shared.metrics.clone();
+    tokio::spawn(config::watch_store(
+        store,
+        config.clone(),
+        members.clone(),
+        metrics.clone(),
+    ));
+    tokio::spawn(config::follow_peers(
+        controllers.peers.clone(),
+        config,
+        members.clone(),
+        metrics.clone(),
+    ));
+    tokio::spawn(release_ended(
+        shared.settings.ledger.clone(),
+        members,
+        controllers.direct.clone(),
+        metrics,
+    ));
     tokio::spawn(follow_tables(shared.clone()));
     if let Some(settings) = &shared.settings.vm_list {
         let every = Duration::from_millis(settings.poll_ms);
-        let list = HttpVmList::open(&settings.address.to_string(), every)?;
+        let list = HttpVmList::open(settings.address.as_str(), every)?;
         tokio::spawn(follow_vms(shared.clone(), list, every));
     }
     Ok(())
@@ -137,6 +208,7 @@
         let index = held.borrow_and_update().index.clone();
         shared.controllers.backends.set_table(index.clone()).await;
         shared.controllers.ledger.set_paid(&index).await;
+        shared.controllers.members.in_force(index.revision()).await;
     }
 }
 
@@ -144,7 +216,10 @@
 async fn follow_vms(shared: Arc<Shared>, list: impl VmList, every: Duration) {
     loop {
         match list.list().await {
-            Ok(vms) => shared.controllers.backends.set_list(vms).await,
+            Ok(vms) => {
+                shared.controllers.members.set_list(vms.clone()).await;
+                shared.controllers.backends.set_list(vms).await;
+            }
             Err(err) => log::debug!("the VM list can't be read: {err}"),
         }
         tokio::time::sleep(every).await;
--- /dev/null
+++ b/crates/peridotslip-daemon/tests/callers.rs
@@ -0,0 +1,279 @@
+//! What callers may send, and what a refusal says and costs.
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+use common::{
+    alone, eventually,
+    fleet::{Fleet, Plan, metric, send},
+    tables::{MUSCAT_KEY, NIZWA_KEY},
+};
+use reqwest::{Client, RequestBuilder};
+use serde_json::{Value, json};
+
+fn one_router() -> Fleet {
+    Fleet::start(&Plan {
+        routers: 1,
+        engines: 1,
+        settings: "limits: {max_body_bytes: 4000, header_timeout_ms: 500, body_timeout_ms: 500}\n"
+            .to_owned(),
+        ..Plan::default()
+    })
+}
+
+fn completion(fleet: &Fleet, body: &Value) -> RequestBuilder {
+    as_caller(fleet, MUSCAT_KEY, body)
+}
+
+fn as_caller(fleet: &Fleet, key: &str, body: &Value) -> RequestBuilder {
+    let url = format!("http://{}/v1/chat/completions", fleet.routers[0].callers);
+    Client::new().post(url).bearer_auth(key).json(body)
+}
+
+fn good() -> Value {
+    json!({ "model": "tagline", "messages": [], "max_tokens": 5 })
+}
+
+#[test]
+#[allow(clippy::too_many_lines)] // A table of cases.
+fn each_bad_request_gets_its_reason_and_costs_nothing() {
+    let _alone = alone();
+    let fleet = one_router();
+    let url = |path: &str| format!("http://{}{path}", fleet.routers[0].callers);
+    let with = |field: &str, value: Value| {
+        let mut body = good();
+        body[field] = value;
+        completion(&fleet, &body)
+    };
+    let long = "x".repeat(300);
+    let cases: Vec<(&str, u16, &str, RequestBuilder)> = vec![
+        (
+            "no key",
+            401,
+            "unauthenticated",
+            Client::new().post(url("/nowhere")),
+        ),
+        (
+            "a wrong key",
+            401,
+            "unauthenticated",
+            Client::new()
+                .post(url("/v1/completions"))
+                .bearer_auth("guess")
+                .body("{"),
+        ),
+        (
+            "not JSON",
+            400,
+            "malformed-body",
+            completion(&fleet, &good()).body("{\"model\":"),
+        ),
+        (
+            "no model",
+            400,
+            "malformed-body",
+            completion(&fleet, &json!({ "max_tokens": 1 })),
+        ),
+        (
+            "two answers at once",
+            400,
+            "malformed-body",
+            with("n", json!(2)),
+        ),
+        (
+            "an unknown model",
+            404,
+            "no-route",
+            with("model", json!("other")),
+        ),
+        (
+            "an unknown path",
+            404,
+            "no-route",
+            Client::new().get(url("/x")).bearer_auth(MUSCAT_KEY),
+        ),
+        (
+            "no max_tokens",
+            400,
+            "max-tokens",
+            with("max_tokens", Value::Null),
+        ),
+        (
+            "max_tokens of 0",
+            400,
+            "max-tokens",
+            with("max_tokens", json!(0)),
+        ),
+        (
+            "too many tokens",
+            400,
+            "max-tokens",
+            with("max_tokens", json!(1_000_000)),
+        ),
+        (
+            "a large body",
+            413,
+            "body-too-large",
+            with("messages", json!([long.repeat(20)])),
+        ),
+        (
+            "an order without a key",
+            400,
+            "idempotency-key-required",
+            Client::new().post(url("/orders")).bearer_auth(MUSCAT_KEY),
+        ),
+        (
+            "a long key",
+            400,
+            "idempotency-key-malformed",
+            completion(&fleet, &good()).header("idempotency-key", &long),
+        ),
+        (
+            "another organisation's path",
+            404,
+            "no-route",
+            Client::new().post(url("/orders")).bearer_auth(NIZWA_KEY),
+        ),
+    ];
+    for (what, status, reason, request) in cases {
+        let name = format!("peridotslip_refusals_total{{reason=\"{reason}\"");
+        let before = metric(&fleet.routers[0], &name);
+
+        let reply = send(request);
+
+        assert_eq!(reply.status, status, "{what}: {}", reply.body);
+        assert_eq!(reply.refusal(), (reason, "not-run"), "{what}");
+        assert_eq!(
+            reply.headers["content-type"], "application/problem+json",
+            "{what}"
+        );
+        let after = metric(&fleet.routers[0], &name);
+        assert!(
+            (after - before - 1.0).abs() < 0.1,
+            "{what}: {reason} counted {before} to {after}"
+        );
+    }
+    assert_eq!(fleet.engine_stat("started"), 0);
+    assert_eq!(fleet.runs(), Vec::<u64>::new());
+    assert_eq!(fleet.money().settled, 0);
+}
+
+#[test]
+fn slow_headers_and_bodies_are_cut_off_and_bad_chunks_refused() {
+    let _alone = alone();
+    let fleet = one_router();
+    let open = || {
+        let stream = TcpStream::connect(&fleet.routers[0].callers).expect("it listens");
+        let patience = Some(Duration::from_secs(20));
+        stream
+            .set_read_timeout(patience)
+            .expect("a time limit can be set");
+        stream
+    };
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {MUSCAT_KEY}\r\n"
+    );
+    let cases = [
+        ("half a head", head.clone(), None),
+        (
+            "half a body",
+            format!("{head}content-length: 50\r\n\r\n{{"),
+            Some("408"),
+        ),
+        (
+            "a bad chunk",
+            format!("{head}transfer-encoding: chunked\r\n\r\nxyz\r\n"),
+            Some("400"),
+        ),
+    ];
+    for (what, sent, status) in cases {
+        let mut stream = open();
+        stream.write_all(sent.as_bytes()).expect("it is taken");
+
+        let mut answer = Vec::new();
+        let ended = stream.read_to_end(&mut answer);
+
+        let text = String::from_utf8_lossy(&answer).into_owned();
+        match status {
+            Some(status) => assert!(
+                text.starts_with(&format!("HTTP/1.1 {status}")),
+                "{what}: {text}"
+            ),
+            None => assert!(
+                ended.is_ok() && !text.contains("200"),
+                "{what}: {ended:?} {text}"
+            ),
+        }
+    }
+}
+
+#[test]
+fn a_key_belongs_to_one_request_of_one_organisation() {
+    let _alone = alone();
+    let fleet = one_router();
+    let mut other = good();
+    other["max_tokens"] = json!(6);
+    let keyed = |body: &Value| completion(&fleet, body).header("idempotency-key", "k1");
+
+    let first = send(keyed(&good()));
+    let again = send(keyed(&good()));
+    let different = send(keyed(&other));
+    let nizwa = send(as_caller(&fleet, NIZWA_KEY, &other).header("idempotency-key", "k1"));
+
+    assert_eq!((first.status, again.status), (200, 200));
+    assert_eq!(first.body, again.body);
+    assert_eq!(different.refusal(), ("idempotency-key-reused", "not-run"));
+    assert_ne!(nizwa.body["id"], first.body["id"]);
+    assert_eq!(fleet.engine_stat("started"), 2);
+}
+
+#[test]
+fn a_caller_that_leaves_pays_for_what_ran_and_the_engine_stops() {
+    let _alone = alone();
+    let fleet = Fleet::start(&Plan {
+        routers: 1,
+        engines: 1,
+        engine_args: vec!["--token-us=5000".to_owned(), "--full-length".to_owned()],
+        ..Plan::default()
+    });
+
+    let report = fleet.load(&[
+        "--model=tagline",
+        "--stream",
+        "--max-tokens=2000",
+        "--leave-after=10",
+    ]);
+
+    assert_eq!(report["left"], 1);
+    eventually("the engine hears of it", || {
+        fleet.engine_stat("cancelled") == 1
+    });
+    let ran = || fleet.engine_stat("prompt_tokens") + fleet.engine_stat("completion_tokens");
+    eventually("the bill is recorded", || fleet.money().settled > 0);
+    assert_eq!(fleet.money().settled, ran());
+    assert!(fleet.engine_stat("completion_tokens") < 1_000);
+}
+
+#[test]
+fn first_tokens_pass_before_the_answer_is_done() {
+    let _alone = alone();
+    let fleet = Fleet::start(&Plan {
+        engine_args: vec!["--token-us=20000".to_owned(), "--full-length".to_owned()],
+        ..Plan::default()
+    });
+
+    let report = fleet.load(&["--model=tagline", "--stream", "--max-tokens=50"]);
+
+    let (first, total) = (&report["first_byte"]["p50_us"], &report["total"]["p50_us"]);
+    let (first, total) = (first.as_u64().unwrap_or(0), total.as_u64().unwrap_or(0));
+    assert_eq!(report["answered"], 1);
+    assert!(
+        first > 0 && first * 3 < total,
+        "first byte at {first} of {total} us"
+    );
+}
--- a/crates/peridotslip-standins/src/load/audit.rs
+++ b/crates/peridotslip-standins/src/load/audit.rs
@@ -17,6 +17,9 @@
     /// The store's address
     #[bpaf(argument("IP:PORT"))]
     store: String,
+    /// The firm whose ledger is audited
+    #[bpaf(argument("NAME"), fallback(String::from("qalam")))]
+    firm: String,
     /// Ledger shards
     #[bpaf(argument("N"), fallback(16))]
     shards: u16,
@@ -38,7 +41,10 @@
     let store = HttpStore::open(&options.store, Duration::from_millis(TIMEOUT_MS))?;
     let (mut settled, mut granted, mut overspend, mut paid) = (0, 0, 0, 0);
     for shard in 0..options.shards {
-        let Some(found) = store.get(&format!("ledger/{shard}")).await? else {
+        let Some(found) = store
+            .get(&format!("ledger/{}/{shard}", options.firm))
+            .await?
+        else {
             continue;
         };
         let record = ShardRecord::decode(&found.value)?;
--- a/crates/peridotslip/src/ledger/account.rs
+++ b/crates/peridotslip/src/ledger/account.rs
@@ -6,6 +6,9 @@
 
 use crate::ids::Incarnation;
 
+/// Most wallets that are named for a recall.
+const MAX_HOLDERS: usize = 32;
+
 /// A wallet's share of a budget. Cumulative tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
@@ -60,6 +63,19 @@
         self.paid.saturating_sub(self.settled + self.outstanding())
     }
 
+    /// The wallets other than `except` that hold most.
+    pub(crate) fn holders(&self, except: Incarnation) -> Vec<Incarnation> {
+        let mut holders: Vec<(u64, Incarnation)> = self
+            .grants
+            .iter()
+            .filter(|(holder, grant)| **holder != except && grant.outstanding() > 0)
+            .map(|(holder, grant)| (grant.outstanding(), *holder))
+            .collect();
+        holders.sort_unstable_by(|a, b| b.cmp(a));
+        holders.truncate(MAX_HOLDERS);
+        holders.into_iter().map(|(_, holder)| holder).collect()
+    }
+
     /// Tokens settled beyond what was paid; always 0.
     #[must_use]
     pub fn overspend(&self) -> u64 {
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -64,6 +64,8 @@
     watermark: u64,
     /// Numbers above the watermark that came early, with their verdicts.
     early: BTreeSet<u64>,
+    /// Where the incarnation ran.
+    address: String,
     /// Since when the incarnation is closed.
     closed_at_ms: Option<u64>,
 }
@@ -135,12 +137,12 @@
         self.keys.len()
     }
 
-    /// Incarnations that hold grants and have not closed.
-    pub fn open_incarnations(&self) -> impl Iterator<Item = Incarnation> {
+    /// Incarnations that have not closed, with their addresses.
+    pub fn open_incarnations(&self) -> impl Iterator<Item = (Incarnation, &str)> {
         self.incarnations
             .iter()
             .filter(|(_, applied)| applied.closed_at_ms.is_none())
-            .map(|(incarnation, _)| *incarnation)
+            .map(|(incarnation, applied)| (*incarnation, applied.address.as_str()))
     }
 
     /// Tokens held by `incarnation` over all budgets of the shard.
@@ -159,6 +161,9 @@
     pub fn apply(&mut self, report: &Report, now_ms: u64) -> ReportReply {
         self.clock_ms = self.clock_ms.max(now_ms);
         let applied = self.incarnations.entry(report.incarnation).or_default();
+        if !report.address.is_empty() && applied.address != report.address {
+            applied.address.clone_from(&report.address);
+        }
         let closed = applied.closed_at_ms.is_some();
         let settled = report
             .settlements
@@ -353,15 +358,22 @@
             grant.granted += given + extra;
             account.grants.insert(incarnation, grant);
         }
+        let recall = account
+            .short_at_ms
+            .is_some_and(|at_ms| at_ms + RECALL_MS > clock_ms);
         GrantReply {
             budget: position.budget.clone(),
             paid: account.paid,
             granted: grant.granted,
             returned: grant.returned,
             free: account.free(),
-            recall: account
-                .short_at_ms
-                .is_some_and(|at_ms| at_ms + RECALL_MS > clock_ms),
+            held_by_others: account.outstanding() - grant.outstanding(),
+            holders: if recall {
+                account.holders(incarnation)
+            } else {
+                Vec::new()
+            },
+            recall,
         }
     }
 }
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -81,6 +81,8 @@
 pub struct Report {
     /// Who reports.
     pub incarnation: Incarnation,
+    /// The reporter's address; empty if somebody else reports for it.
+    pub address: String,
     /// Positions that changed.
     pub budgets: Vec<BudgetReport>,
     /// Settlements that no reply has confirmed.
@@ -151,6 +153,11 @@
     pub returned: u64,
     /// Tokens that nobody holds and that are not settled.
     pub free: u64,
+    /// Tokens that other wallets hold.
+    pub held_by_others: u64,
+    /// Some of the wallets that hold them, the largest first, if a recall is
+    /// wanted.
+    pub holders: Vec<Incarnation>,
     /// Whether the need of some wallet could not be met lately, so that idle
     /// grants should be given back.
     pub recall: bool,
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -142,6 +142,7 @@
 #[derive(Clone, Debug)]
 pub struct Wallet {
     incarnation: Incarnation,
+    address: String,
     purses: HashMap<BudgetName, Purse>,
     outbox: BTreeMap<u64, Settlement>,
     claims: BTreeMap<(RequestKey, u64), Claim>,
@@ -156,6 +157,7 @@
     pub fn new(incarnation: Incarnation) -> Self {
         Self {
             incarnation,
+            address: String::new(),
             purses: HashMap::new(),
             outbox: BTreeMap::new(),
             claims: BTreeMap::new(),
@@ -165,6 +167,13 @@
         }
     }
 
+    /// Says where the router can be found.
+    #[must_use]
+    pub fn at(mut self, address: &str) -> Self {
+        address.clone_into(&mut self.address);
+        self
+    }
+
     /// The run of the router that this wallet belongs to.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
@@ -328,6 +337,7 @@
         }
         Report {
             incarnation: self.incarnation,
+            address: self.address.clone(),
             budgets,
             settlements: self.outbox.values().cloned().collect(),
             claims: self.claims.values().copied().collect(),
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -47,6 +47,9 @@
 - [`tables`]: the operators' two tables, their checks, merging and matching.
 - [`config`]: how tables become pages and a head in the store.
 - [`ledger`]: accounts, grants, settlements and claims.
+- [`doubt`]: when the grants of a router that has gone are free again.
+- [`witness`]: copies of bills that outlive the router that made them.
+- [`members`]: which routers there are, and who has which duty.
 - [`dedupe`]: joining and replaying duplicate requests in one process.
 - [`balance`]: choosing a backend server.
 - [`refusal`]: every reason for which a request is refused or retried.
@@ -55,9 +58,12 @@
 pub mod balance;
 pub mod config;
 pub mod dedupe;
+pub mod doubt;
 pub mod ids;
 pub mod ledger;
+pub mod members;
 pub mod prelude;
 pub mod refusal;
 pub mod tables;
 mod util;
+pub mod witness;
--- a/crates/peridotslip/tests/ledger.rs
+++ b/crates/peridotslip/tests/ledger.rs
@@ -13,7 +13,7 @@
 const KEYS: u128 = 4;
 
 /// One thing that happens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Reserve {
         wallet: usize,
@@ -259,20 +259,19 @@
             if matches!(step, Step::Restart { .. }) {
                 continue;
             }
-            if let Step::Settle { wallet, part, key } = &step {
-                if let Some(reservation) = world.reservations[*wallet].last() {
+            if let Step::Settle { wallet, part, key } = &step
+                && let Some(reservation) = world.reservations[*wallet].last() {
                     let tokens = reservation.tokens() * part / 100;
                     match key {
                         Some(key) => keyed.entry(*key).or_default().push(tokens),
                         None => unkeyed += tokens,
                     }
                 }
-            }
             world.act(step);
         }
         world.drain();
         let settled = world.record.account(&BUDGET.into()).map_or(0, |account| account.settled);
-        let outstanding = world.record.account(&BUDGET.into()).map_or(0, |a| a.outstanding());
+        let outstanding = world.record.account(&BUDGET.into()).map_or(0, peridotslip::ledger::Account::outstanding);
         prop_assert_eq!(outstanding, 0);
         let least: u64 = keyed.values().filter_map(|bills| bills.iter().min()).sum();
         let most: u64 = keyed.values().filter_map(|bills| bills.iter().max()).sum();
--- a/crates/peridotslip/tests/tables.rs
+++ b/crates/peridotslip/tests/tables.rs
@@ -12,6 +12,7 @@
 type Breach = (fn(&mut Tables), &'static str);
 
 #[test]
+#[allow(clippy::too_many_lines)] // A table of cases.
 fn each_broken_rule_is_named_with_its_row() {
     let breaches: Vec<Breach> = vec![
         (
@@ -98,7 +99,7 @@
                 t.routes
                     .routes
                     .iter_mut()
-                    .for_each(|route| route.keys.clear())
+                    .for_each(|route| route.keys.clear());
             },
             "NoKey(\"muscat\"",
         ),
