Claim before reserving, pace the writers, pool small spares

Cause: (1) a retried order whose first attempt ran could be told "not run" when the budget was used up or the ledger away, because tokens were reserved before the claim was looked at. (2) Writers swapped as fast as the store answered: up to 90 writes a second for each busy shard.

Change: the claim comes first and only its holder says "not run"; any other keyed refusal says "unknown". Writers keep a pace of group_ms (50). A report names the least useful grant, and spares go back while others are short.

--- a/crates/peridotslip-cli/src/commands.rs
+++ b/crates/peridotslip-cli/src/commands.rs
@@ -205,7 +205,7 @@
     #[bpaf(command)]
     Budgets {
         /// Ledger shards, as in the routers' settings
-        #[bpaf(argument("N"), fallback(16))]
+        #[bpaf(argument("N"), fallback(8))]
         shards: u16,
     },
     /// Show how routers are
--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -63,6 +63,7 @@
 
 /// One request's state. Filters fill it in from the front of the chain to its
 /// end; the tables it was matched with stay the same throughout.
+#[allow(clippy::struct_excessive_bools)] // Independent facts, each set by one filter.
 pub(crate) struct Cx {
     pub(crate) shared: Arc<Shared>,
     pub(crate) id: String,
@@ -83,6 +84,10 @@
     /// A server that is already at work on the request, and how many parts
     /// of its answer the caller has.
     pub(crate) adopted: Option<(String, u64)>,
+    /// Whether another router answered for the request.
+    pub(crate) answered_elsewhere: bool,
+    /// Whether this router holds the claim of a key that may run once.
+    pub(crate) holds_claim: bool,
     /// Tokens set aside, until they are settled or cancelled.
     pub(crate) hold: Option<Hold>,
     /// What the work cost, if a bill is due.
@@ -111,6 +116,8 @@
             bound: 0,
             forwarded: false,
             adopted: None,
+            answered_elsewhere: false,
+            holds_claim: false,
             hold: None,
             usage: None,
             held_back: None,
--- a/crates/peridotslip-daemon/src/controllers/ledger.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger.rs
@@ -24,7 +24,7 @@
 use tokio::sync::oneshot;
 
 use self::shard::{
-    Cancel, ClaimKey, Close, Paid, RecallBudget, ReserveTokens, Settle, ShardController,
+    Cancel, ClaimKey, Close, Paid, RecallBudget, ReserveTokens, Settle, ShardController, Unclaim,
 };
 pub(crate) use self::{
     direct::Direct, doubt::release_ended, recall::PeerRecall, via_writer::ViaWriter,
@@ -204,7 +204,7 @@
         };
         let _ = self.shard(organisation).tell(claim).await;
         let Ok(Ok(Some(verdict))) = tokio::time::timeout(self.wait, rx).await else {
-            return Err(unavailable(Refusal::LedgerUnavailable));
+            return Err(Refused::unknown(Refusal::LedgerUnavailable).retry_after(RETRY_AFTER_S));
         };
         match verdict {
             ClaimVerdict::Granted => Ok(()),
@@ -238,14 +238,15 @@
         Settling { durable, copied }
     }
 
-    /// Ends a hold whose claimed work certainly never ran.
-    pub(crate) async fn unclaim(&self, hold: Hold, key: RequestKey) {
-        let bill = Bill {
-            key: Some(key),
-            tokens: 0,
-            outcome: Outcome::NotRun,
-        };
-        self.settle(hold, bill).await;
+    /// Gives a claim back whose work certainly never ran.
+    pub(crate) async fn unclaim(
+        &self,
+        organisation: &OrganisationName,
+        budget: &BudgetName,
+        key: RequestKey,
+    ) {
+        let budget = budget.clone();
+        let _ = self.shard(organisation).tell(Unclaim { budget, key }).await;
     }
 
     /// Takes in the paid figures of new tables.
--- a/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
@@ -1,6 +1,6 @@
 //! The direct way to a record: this router swaps it in the store by itself.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use peridotslip::{
@@ -13,7 +13,7 @@
     Error, LedgerPath, Result,
     writer::{Holder, Writer},
 };
-use crate::metrics::Metrics;
+use crate::{metrics::Metrics, settings::LedgerSettings};
 
 /// Writers for all shards, in this process.
 pub(crate) struct Direct {
@@ -23,13 +23,14 @@
 impl Direct {
     pub(crate) fn spawn(
         firm: &str,
-        shards: u16,
+        settings: &LedgerSettings,
         store: &Arc<dyn Store>,
         metrics: &Arc<Metrics>,
     ) -> Self {
+        let pace = Duration::from_millis(settings.group_ms);
         let key = |shard| format!("ledger/{firm}/{shard}");
-        let writers = (0..shards)
-            .map(|shard| Writer::spawn(key(shard), store.clone(), metrics.clone()))
+        let writers = (0..settings.shards)
+            .map(|shard| Writer::spawn(key(shard), pace, store.clone(), metrics.clone()))
             .collect();
         Self { writers }
     }
--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -53,6 +53,11 @@
     pub(crate) copied_tx: oneshot::Sender<()>,
 }
 
+pub(crate) struct Unclaim {
+    pub(crate) budget: BudgetName,
+    pub(crate) key: RequestKey,
+}
+
 pub(crate) struct Cancel {
     pub(crate) incarnation: Incarnation,
     pub(crate) reservation: Reservation,
@@ -322,7 +327,8 @@
                     waiting.stage = Stage::New;
                     return true;
                 }
-                if told.held_by_others == 0 {
+                let anywhere = told.free + told.held_by_others + self.wallet.spendable(budget);
+                if told.held_by_others == 0 || anywhere < waiting.request.tokens {
                     return false;
                 }
                 waiting.stage = Stage::Recalling;
@@ -452,6 +458,15 @@
     }
 }
 
+impl Message<Unclaim> for ShardController {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Unclaim, cx: &mut Context<Self, ()>) {
+        self.wallet.unclaim(&msg.budget, msg.key);
+        self.exchange_after(cx.actor_ref(), self.group);
+    }
+}
+
 impl Message<Cancel> for ShardController {
     type Reply = ();
 
--- a/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
@@ -1,12 +1,15 @@
 //! Swaps one shard's record in the store, many reports at a time.
 //!
-//! Whatever arrives during one swap goes together in the next, so the store's
-//! writes depend on how long a swap takes and not on how many requests there
-//! are. Applying a report again is harmless, so a swap that lost a race or
+//! Swaps keep a pace: whatever arrives meanwhile goes together in the next, so
+//! the store's writes depend on the number of shards and not on how many
+//! requests or routers there are. After a quiet time the first goes at once. Applying a report again is harmless, so a swap that lost a race or
 //! whose reply was lost is answered by reading the record and applying the
 //! same reports to it.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use peridotslip::{
     ledger::{Report, ReportReply, ShardRecord},
@@ -57,12 +60,19 @@
 
 impl Writer {
     /// Starts writing the record at `key`.
-    pub(crate) fn spawn(key: String, store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
+    pub(crate) fn spawn(
+        key: String,
+        pace: Duration,
+        store: Arc<dyn Store>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(MAX_WAITING);
         let task = Task {
             key,
             store,
             metrics,
+            pace,
+            last_swap: None,
             known: None,
         };
         tokio::spawn(task.run(rx));
@@ -102,6 +112,9 @@
     key: String,
     store: Arc<dyn Store>,
     metrics: Arc<Metrics>,
+    /// Shortest time between the starts of two swaps.
+    pace: Duration,
+    last_swap: Option<Instant>,
     /// The record as last read or written, with its version.
     known: Option<(u64, ShardRecord)>,
 }
@@ -110,6 +123,12 @@
     async fn run(mut self, mut rx: mpsc::Receiver<Order>) {
         let mut orders = Vec::new();
         while rx.recv_many(&mut orders, MAX_GROUP).await > 0 {
+            self.keep_pace().await;
+            while orders.len() < MAX_GROUP
+                && let Ok(order) = rx.try_recv()
+            {
+                orders.push(order);
+            }
             let mut group = Vec::new();
             for order in orders.drain(..) {
                 match order {
@@ -135,6 +154,14 @@
         }
     }
 
+    /// Waits until the next swap may start.
+    async fn keep_pace(&self) {
+        let since = self.last_swap.map(|at| at.elapsed());
+        if let Some(rest) = since.and_then(|since| self.pace.checked_sub(since)) {
+            tokio::time::sleep(rest).await;
+        }
+    }
+
     /// Writes a group and returns the replies by submission.
     async fn write(&mut self, group: &[Submission]) -> Result<Vec<Vec<ReportReply>>> {
         for _ in 0..MAX_TRIES {
@@ -149,6 +176,7 @@
             if next.same_content(&record) {
                 return Ok(replies);
             }
+            self.last_swap = Some(Instant::now());
             self.metrics.store_call("swap");
             match self.store.swap(&self.key, version, &next.encode()).await {
                 Ok(version) => {
--- a/crates/peridotslip-daemon/src/filters.rs
+++ b/crates/peridotslip-daemon/src/filters.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use peridotslip::prelude::*;
 
 use crate::{
     context::Cx,
@@ -82,10 +83,21 @@
             rest: &self.filters,
         };
         let result = next.call(cx).await;
-        finish(cx, result);
+        finish(cx, result.map_err(|refused| truthful(cx, refused)));
     }
 }
 
+/// Says "unknown" in place of "not run" where an earlier request of the same
+/// key may have run: only the holder of the key's claim can rule that out. A
+/// key that is refused as another request's has not run as this one.
+fn truthful(cx: &Cx, mut refused: Refused) -> Refused {
+    let vouched = cx.key.is_none() || cx.holds_claim || cx.answered_elsewhere;
+    if !vouched && refused.run == Run::NotRun && refused.refusal != Refusal::KeyReused {
+        refused.run = Run::Unknown;
+    }
+    refused
+}
+
 fn finish(cx: &Cx, result: Result<()>) {
     let metrics = &cx.shared.metrics;
     let outcome = match &result {
--- a/crates/peridotslip-daemon/src/filters/dedupe.rs
+++ b/crates/peridotslip-daemon/src/filters/dedupe.rs
@@ -30,7 +30,10 @@
         };
         if let Some(home) = home(cx, key) {
             match forward(cx, &home).await {
-                Outcome::Finished(result) => return result,
+                Outcome::Finished(result) => {
+                    cx.answered_elsewhere = true;
+                    return result;
+                }
                 Outcome::NotTaken => {
                     cx.shared.controllers.members.silent(&home).await;
                     cx.shared.metrics.event("home-unreachable", 1);
--- a/crates/peridotslip-daemon/src/filters/reserve.rs
+++ b/crates/peridotslip-daemon/src/filters/reserve.rs
@@ -1,5 +1,8 @@
-//! Sets tokens aside for the request, and claims its key where the work may
-//! not be repeated.
+//! Claims the request's key where the work may not be repeated, and sets
+//! tokens aside.
+//!
+//! The claim comes first: only the holder of a claim knows that nobody else
+//! has run the key, so only it can say "not run" when tokens are lacking.
 
 use async_trait::async_trait;
 
@@ -11,27 +14,39 @@
 #[async_trait]
 impl Filter for Reserve {
     async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
-        let ledger = cx.shared.controllers.ledger.clone();
         let matched = cx.matched().clone();
+        let Some(key) = cx.key.filter(|_| !matched.route.idempotent) else {
+            return reserve(cx, next).await;
+        };
+        let ledger = cx.shared.controllers.ledger.clone();
         let organisation = &matched.route.organisation;
-        let hold = ledger
-            .reserve(organisation, &matched.budget, cx.bound)
-            .await?;
-        let claim = cx.key.filter(|_| !matched.route.idempotent);
-        if let Some(key) = claim
-            && let Err(refused) = ledger.claim(organisation, key, cx.fingerprint).await
-        {
-            // If the claim was recorded and only its reply was lost, this
-            // gives it back; another holder's claim stays.
-            ledger.unclaim(hold, key).await;
-            return Err(refused);
-        }
-        cx.hold = Some(hold);
-        let result = next.call(cx).await;
-        // A hold without a bill means that nothing ran.
-        if let (Some(hold), Some(key)) = (cx.hold.take(), claim) {
-            ledger.unclaim(hold, key).await;
+        let claimed = ledger.claim(organisation, key, cx.fingerprint).await;
+        cx.holds_claim = claimed.is_ok();
+        let result = match claimed {
+            Ok(()) => reserve(cx, next).await,
+            Err(refused) => Err(refused),
+        };
+        // Without a bill nothing ran. If only the reply to the claim was
+        // lost, this gives it back; another holder's claim stays.
+        if cx.usage.is_none() {
+            ledger
+                .unclaim(organisation, &matched.budget.name, key)
+                .await;
         }
         result
     }
 }
+
+async fn reserve(cx: &mut Cx, next: Next<'_>) -> Result<()> {
+    let ledger = cx.shared.controllers.ledger.clone();
+    let matched = cx.matched().clone();
+    let organisation = &matched.route.organisation;
+    let hold = ledger
+        .reserve(organisation, &matched.budget, cx.bound)
+        .await?;
+    cx.hold = Some(hold);
+    let result = next.call(cx).await;
+    // Frees the tokens of work that was not billed.
+    cx.hold = None;
+    result
+}
--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -125,7 +125,8 @@
 pub(crate) struct LedgerSettings {
     /// Ledger shards; the same for the whole fleet, for good.
     pub(crate) shards: u16,
-    /// Shortest time between two exchanges of a shard, in milliseconds.
+    /// Shortest time between two swaps of a shard's record, and longest wait
+    /// of bills for the next exchange, in milliseconds.
     pub(crate) group_ms: u64,
     /// Longest wait of a request for tokens, in milliseconds.
     pub(crate) refill_wait_ms: u64,
@@ -138,8 +139,8 @@
 impl Default for LedgerSettings {
     fn default() -> Self {
         Self {
-            shards: 16,
-            group_ms: 10,
+            shards: 8,
+            group_ms: 50,
             refill_wait_ms: 1_500,
             in_doubt_hold_s: 10,
         }
@@ -241,6 +242,9 @@
     }
 }
 
+/// Least room for a request's head, in bytes: the HTTP library needs it.
+const MIN_HEADER_BYTES: usize = 8_192;
+
 /// A rule on one field: its path, whether it holds, and the remedy.
 type Rule = (&'static str, bool, &'static str);
 
@@ -269,34 +273,9 @@
     }
 
     fn rules(&self) -> Vec<Rule> {
-        let positive = "give a number above 0";
-        let address = "write `IP:port`";
-        let listen = &self.listen;
-        let vm_list = self.vm_list.as_ref().map(|list| list.address.parsed());
-        let policy = crate::backend::policy(&self.backends.policy).is_some();
-        vec![
-            ("listen.callers", listen.callers.parsed().is_some(), address),
-            (
-                "listen.operators",
-                listen.operators.parsed().is_some(),
-                address,
-            ),
-            ("listen.peers", listen.peers.parsed().is_some(), address),
-            (
-                "store.address",
-                self.store.address.parsed().is_some(),
-                address,
-            ),
-            (
-                "vm_list.address",
-                vm_list.is_none_or(|list| list.is_some()),
-                address,
-            ),
-            (
-                "peers",
-                self.peers.iter().all(|peer| peer.parsed().is_some()),
-                address,
-            ),
+        let mut rules = self.address_rules();
+        rules.extend(self.number_rules());
+        rules.extend([
             ("firm", !self.firm.is_empty(), "name the firm"),
             ("vm", !self.vm.is_empty(), "name this VM"),
             (
@@ -304,82 +283,86 @@
                 !self.data_centre.is_empty(),
                 "name the data centre",
             ),
+            (
+                "backends.policy",
+                crate::backend::policy(&self.backends.policy).is_some(),
+                "use `round-robin`, `least-loaded` or `two-choices`",
+            ),
+        ]);
+        rules
+    }
+
+    fn address_rules(&self) -> Vec<Rule> {
+        const FORM: &str = "write `IP:port`";
+        let Listen {
+            callers,
+            operators,
+            peers,
+        } = &self.listen;
+        let usable = |address: &Address| address.parsed().is_some();
+        let named =
+            |address: &Address| !address.parsed().is_some_and(|it| it.ip().is_unspecified());
+        let list = self.vm_list.as_ref().map(|list| &list.address);
+        vec![
+            ("listen.callers", usable(callers), FORM),
+            ("listen.operators", usable(operators), FORM),
+            ("listen.peers", usable(peers), FORM),
+            ("store.address", usable(&self.store.address), FORM),
+            ("vm_list.address", list.is_none_or(usable), FORM),
+            ("peers", self.peers.iter().all(usable), FORM),
             (
                 "listen.operators",
-                listen.operators != listen.callers,
+                operators != callers,
                 "use another address than for callers",
             ),
             (
                 "listen.peers",
-                listen.peers != listen.callers && listen.peers != listen.operators,
+                peers != callers && peers != operators,
                 "use another address than for callers and operators",
             ),
             (
                 "listen.peers",
-                listen
-                    .peers
-                    .parsed()
-                    .is_none_or(|peers| !peers.ip().is_unspecified()),
+                named(peers),
                 "name the IP by which peers reach this VM",
             ),
-            ("store.timeout_ms", self.store.timeout_ms > 0, positive),
-            ("ledger.shards", self.ledger.shards > 0, positive),
-            (
-                "ledger.refill_wait_ms",
-                self.ledger.refill_wait_ms > 0,
-                positive,
-            ),
-            (
-                "limits.max_header_bytes",
-                self.limits.max_header_bytes >= 8_192,
-                "give at least 8192",
-            ),
-            (
-                "limits.max_body_bytes",
-                self.limits.max_body_bytes > 0,
-                positive,
-            ),
-            (
-                "limits.max_answer_bytes",
-                self.limits.max_answer_bytes > 0,
-                positive,
-            ),
-            (
-                "limits.header_timeout_ms",
-                self.limits.header_timeout_ms > 0,
-                positive,
-            ),
-            (
-                "limits.body_timeout_ms",
-                self.limits.body_timeout_ms > 0,
-                positive,
-            ),
+        ]
+    }
+
+    fn number_rules(&self) -> Vec<Rule> {
+        let (limits, backends) = (&self.limits, &self.backends);
+        let size = |bytes: usize| u64::try_from(bytes).unwrap_or(u64::MAX);
+        let least: [(&'static str, u64, u64); 11] = [
+            ("store.timeout_ms", self.store.timeout_ms, 1),
+            ("ledger.shards", self.ledger.shards.into(), 1),
+            ("ledger.refill_wait_ms", self.ledger.refill_wait_ms, 1),
+            ("limits.max_body_bytes", size(limits.max_body_bytes), 1),
+            ("limits.max_answer_bytes", size(limits.max_answer_bytes), 1),
+            ("limits.header_timeout_ms", limits.header_timeout_ms, 1),
+            ("limits.body_timeout_ms", limits.body_timeout_ms, 1),
             (
                 "limits.max_open_requests",
-                self.limits.max_open_requests > 0,
-                positive,
+                size(limits.max_open_requests),
+                1,
             ),
             (
                 "backends.connect_timeout_ms",
-                self.backends.connect_timeout_ms > 0,
-                positive,
+                backends.connect_timeout_ms,
+                1,
             ),
             (
                 "backends.silence_timeout_ms",
-                self.backends.silence_timeout_ms > 0,
-                positive,
-            ),
-            (
-                "backends.load_poll_ms",
-                self.backends.load_poll_ms > 0,
-                positive,
+                backends.silence_timeout_ms,
+                1,
             ),
-            (
-                "backends.policy",
-                policy,
-                "use `round-robin`, `least-loaded` or `two-choices`",
-            ),
-        ]
+            ("backends.load_poll_ms", backends.load_poll_ms, 1),
+        ];
+        let mut rules: Vec<Rule> = least
+            .into_iter()
+            .map(|(field, value, least)| (field, value >= least, "give a number above 0"))
+            .collect();
+        let headers = limits.max_header_bytes >= MIN_HEADER_BYTES;
+        rules.push(("limits.max_header_bytes", headers, "give at least 8192"));
+        rules
     }
 }
 
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -119,8 +119,12 @@
     let me = node(settings);
     let seeds: Vec<String> = settings.peers.iter().map(ToString::to_string).collect();
     let members = MembersHandle::spawn(me.clone(), &seeds, peers.clone(), metrics.clone());
-    let shards = settings.ledger.shards;
-    let direct = Arc::new(Direct::spawn(&settings.firm, shards, store, metrics));
+    let direct = Arc::new(Direct::spawn(
+        &settings.firm,
+        &settings.ledger,
+        store,
+        metrics,
+    ));
     let path: Arc<dyn LedgerPath> = Arc::new(ViaWriter::new(
         members.clone(),
         peers.clone(),
--- a/crates/peridotslip-daemon/tests/common/fleet.rs
+++ b/crates/peridotslip-daemon/tests/common/fleet.rs
@@ -1,6 +1,7 @@
 //! Starting, breaking and asking processes.
 
 use std::{
+    collections::BTreeSet,
     fs,
     net::TcpListener,
     path::PathBuf,
@@ -345,6 +346,7 @@
     /// Sum of settled, granted and overspent tokens over all shards.
     pub fn money(&self) -> Money {
         let mut money = Money::default();
+        let mut holders = BTreeSet::new();
         for shard in 0..SHARDS {
             let url = format!("http://{}/kv/ledger/qalam/{shard}", self.store);
             let Some(bytes) = get_bytes(&url) else {
@@ -356,7 +358,9 @@
                 money.granted += account.outstanding();
                 money.overspent += account.overspend();
             }
+            holders.extend(record.open_incarnations().map(|(holder, _)| holder));
         }
+        money.holders = holders.len();
         money
     }
 
@@ -438,6 +442,8 @@
     pub settled: u64,
     pub granted: u64,
     pub overspent: u64,
+    /// Router processes that hold grants or may.
+    pub holders: usize,
 }
 
 fn spawn_router(settings: &std::path::Path) -> Child {
--- a/crates/peridotslip-standins/src/load.rs
+++ b/crates/peridotslip-standins/src/load.rs
@@ -212,6 +212,8 @@
             .client
             .post(format!("http://{router}{path}"))
             .bearer_auth(&plan.key)
+            // For engines that are called without a router.
+            .header("x-request-id", format!("{}-{}", options.seed, plan.number))
             .json(&body);
         if options.keyed || options.twice {
             let key = format!("load-{}-{}", options.seed, plan.number);
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -349,10 +349,13 @@
             grant.returned = grant.returned.max(position.returned.min(room));
             account.grants.insert(incarnation, grant);
             let needed = position.need.saturating_sub(grant.granted);
-            let given = needed.min(account.free());
+            let mut given = needed.min(account.free());
             if given < needed {
                 account.short_at_ms = Some(clock_ms);
             }
+            if grant.granted + given < position.least {
+                given = 0;
+            }
             let wished = position.want.saturating_sub(grant.granted + given);
             let extra = wished.min((account.free() - given) / WISH_DIVISOR);
             grant.granted += given + extra;
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -70,6 +70,9 @@
     pub paid: u64,
     /// Total grants without which a waiting request can't run.
     pub need: u64,
+    /// Total grants below which no waiting request can run; a smaller grant
+    /// would only lie idle.
+    pub least: u64,
     /// Total grants that would cover the near future as well.
     pub want: u64,
     /// Total given back unspent.
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -56,8 +56,9 @@
     returned: u64,
     spent: u64,
     reserved: u64,
-    /// Tokens that waiting requests lack.
+    /// Tokens that waiting requests lack, in all and for the smallest.
     lacking: u64,
+    least_lacking: u64,
     /// Whether other wallets are short.
     recall: bool,
     /// Spend per second, exponentially averaged.
@@ -76,6 +77,20 @@
         self.granted - self.returned - self.spent - self.reserved
     }
 
+    /// Notes that a waiting request lacks tokens.
+    fn lack(&mut self, tokens: u64) {
+        self.least_lacking = match self.lacking {
+            0 => tokens,
+            _ => self.least_lacking.min(tokens),
+        };
+        self.lacking += tokens;
+    }
+
+    fn forget_needs(&mut self) {
+        self.lacking = 0;
+        self.least_lacking = 0;
+    }
+
     fn note_spend(&mut self, tokens: u64, now_ms: u64) {
         self.decay(now_ms);
         self.rate += as_f64(tokens) * 1_000.0 / as_f64(RATE_WINDOW_MS);
@@ -98,7 +113,10 @@
 
     fn give_back(&mut self) {
         let cushion = self.cushion();
-        let spare = self.spendable().saturating_sub(self.lacking);
+        // While others are short, a spare that is too small for the waiting
+        // requests here may complete what another wallet lacks.
+        let kept = if self.recall { 0 } else { self.lacking };
+        let spare = self.spendable().saturating_sub(kept);
         if spare > cushion.saturating_mul(2) {
             self.returned += spare - cushion;
         }
@@ -111,6 +129,7 @@
             budget: budget.clone(),
             paid: self.paid,
             need,
+            least: base + self.least_lacking,
             want: need + self.cushion(),
             returned: self.returned,
         }
@@ -191,7 +210,7 @@
         let purse = self.purses.entry(budget.clone()).or_default();
         purse.decay(now_ms);
         if purse.spendable() < tokens {
-            purse.lacking += tokens;
+            purse.lack(tokens);
             return Reserve::Short;
         }
         purse.reserved += tokens;
@@ -212,10 +231,14 @@
         purse.reserved -= reservation.tokens;
         purse.spent += bill.tokens;
         purse.note_spend(bill.tokens, now_ms);
+        self.post(reservation.budget, bill)
+    }
+
+    fn post(&mut self, budget: BudgetName, bill: Bill) -> u64 {
         self.last_seq += 1;
         let settlement = Settlement {
             seq: self.last_seq,
-            budget: reservation.budget,
+            budget,
             bill,
         };
         self.outbox.insert(self.last_seq, settlement);
@@ -230,15 +253,15 @@
         }
     }
 
-    /// Ends a reservation whose claimed work certainly never ran, so that
-    /// the claim is given back.
-    pub fn unclaim(&mut self, reservation: Reservation, key: RequestKey, now_ms: u64) -> u64 {
+    /// Gives a claim back whose work certainly never ran. If another wallet
+    /// holds the claim, nothing changes.
+    pub fn unclaim(&mut self, budget: &BudgetName, key: RequestKey) -> u64 {
         let bill = Bill {
             key: Some(key),
             tokens: 0,
             outcome: Outcome::NotRun,
         };
-        self.settle(reservation, bill, now_ms)
+        self.post(budget.clone(), bill)
     }
 
     /// Asks to be the only runner of a key; the answer comes by
@@ -295,7 +318,7 @@
     /// Forgets what waiting requests lack, because they were refused.
     pub fn forget_needs(&mut self) {
         for purse in self.purses.values_mut() {
-            purse.lacking = 0;
+            purse.forget_needs();
         }
     }
 
@@ -355,7 +378,7 @@
             purse.granted = purse.granted.max(grant.granted);
             purse.recall = grant.recall;
             purse.free_at_record = grant.free;
-            purse.lacking = 0;
+            purse.forget_needs();
             purse.recorded_paid = purse.recorded_paid.max(grant.paid);
             purse.recorded_returned = purse.recorded_returned.max(grant.returned);
         }
