--- a/crates/peridotslip/tests/fault_matrix.rs
+++ b/crates/peridotslip/tests/fault_matrix.rs
@@ -116,6 +116,7 @@
     Nothing,
 }
 
+#[allow(clippy::struct_excessive_bools)] // One for each fault.
 struct Router {
     wallet: Wallet,
     budget: &'static str,
@@ -142,6 +143,7 @@
     }
 }
 
+#[allow(clippy::struct_excessive_bools)] // One for each fault.
 struct World {
     kind: Kind,
     plan: Vec<(Point, Fault)>,
--- a/crates/peridotslip/tests/ledger.rs
+++ b/crates/peridotslip/tests/ledger.rs
@@ -287,7 +287,8 @@
     let mut late = Wallet::new(Incarnation::from(1));
     late.set_paid(&budget, 100);
     assert_eq!(late.reserve(&budget, 60, 0), Reserve::Short);
-    late.accept(&record.apply(&late.report(0), 0));
+    let reply = record.apply(&late.report(0), 0);
+    late.accept(&reply);
     let Reserve::Held(reservation) = late.reserve(&budget, 60, 1) else {
         panic!("60 of 100 are granted");
     };
@@ -295,7 +296,8 @@
     record.release(Incarnation::from(1), 3);
     let mut other = Wallet::new(Incarnation::from(2));
     assert_eq!(other.reserve(&budget, 90, 4), Reserve::Short);
-    other.accept(&record.apply(&other.report(4), 4));
+    let reply = record.apply(&other.report(4), 4);
+    other.accept(&reply);
 
     let reply = record.apply(&late.report(5), 5);
 
