Add admission gate, prefix affinity and experiments (library and trials)

Cause: nothing compared the designs, and nothing kept goodput up past saturation.

Change: Gate (adaptive limit, deadline classes, turns between organisations, early refusal), PrefixAffinity (consistent hashing with bounded loads), and experiments ledger and routing on the library's logic in simulated time. The gate is not yet in the daemon.

--- a/crates/peridotslip-daemon/src/backend.rs
+++ b/crates/peridotslip-daemon/src/backend.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use peridotslip::{
-    balance::{LeastLoaded, RoundRobin, TwoChoices},
+    balance::{LeastLoaded, PrefixAffinity, RoundRobin, TwoChoices},
     prelude::*,
 };
 
@@ -14,10 +14,11 @@
 
 /// The policy of this name.
 pub(crate) fn policy(name: &str) -> Option<Box<dyn Policy>> {
-    let all: [Box<dyn Policy>; 3] = [
+    let all: [Box<dyn Policy>; 4] = [
         Box::new(RoundRobin::default()),
         Box::new(LeastLoaded),
         Box::new(TwoChoices),
+        Box::new(PrefixAffinity),
     ];
     all.into_iter().find(|policy| policy.name() == name)
 }
--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -188,7 +188,7 @@
     pub(crate) silence_timeout_ms: u64,
     /// Time between two load reports, in milliseconds.
     pub(crate) load_poll_ms: u64,
-    /// `round-robin`, `least-loaded` or `two-choices`.
+    /// `round-robin`, `least-loaded`, `two-choices` or `prefix-affinity`.
     pub(crate) policy: String,
 }
 
@@ -286,7 +286,7 @@
             (
                 "backends.policy",
                 crate::backend::policy(&self.backends.policy).is_some(),
-                "use `round-robin`, `least-loaded` or `two-choices`",
+                "use `round-robin`, `least-loaded`, `two-choices` or `prefix-affinity`",
             ),
         ]);
         rules
--- a/crates/peridotslip-standins/src/main.rs
+++ b/crates/peridotslip-standins/src/main.rs
@@ -4,6 +4,7 @@
 //! They are made for tests, demonstrations and measurements only.
 
 mod engine;
+mod experiment;
 mod load;
 mod relay;
 mod serve;
@@ -37,6 +38,9 @@
     /// Sends requests at a given rate and audits the answers and bills
     #[bpaf(command)]
     Load(#[bpaf(external(load::options))] load::Options),
+    /// Compares designs in simulated time, on the library's decision logic
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::options))] experiment::Options),
     /// Compares callers' tokens, services' runs and the ledger
     #[bpaf(command)]
     Audit(#[bpaf(external(load::audit_options))] load::AuditOptions),
@@ -51,6 +55,7 @@
         Command::Service(options) => service::run(options).await,
         Command::Relay(options) => relay::run(options).await,
         Command::Load(options) => load::run(options).await,
+        Command::Experiment(options) => experiment::run(&options),
         Command::Audit(options) => load::audit(options).await,
     };
     match result {
--- a/crates/peridotslip/src/balance.rs
+++ b/crates/peridotslip/src/balance.rs
@@ -4,10 +4,12 @@
 //! Load reports lag, so `in_flight` (what this router has sent and not seen
 //! finished) corrects them.
 
+mod affinity;
 mod health;
 mod policies;
 
 pub use self::{
+    affinity::PrefixAffinity,
     health::{Finish, Servers},
     policies::{LeastLoaded, RoundRobin, TwoChoices},
 };
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -51,10 +51,12 @@
 - [`witness`]: copies of bills that outlive the router that made them.
 - [`members`]: which routers there are, and who has which duty.
 - [`dedupe`]: joining and replaying duplicate requests in one process.
+- [`admission`]: how many requests run, which go first, which are refused.
 - [`balance`]: choosing a backend server.
 - [`refusal`]: every reason for which a request is refused or retried.
 */
 
+pub mod admission;
 pub mod balance;
 pub mod config;
 pub mod dedupe;
--- a/crates/peridotslip/tests/fault_matrix.rs
+++ b/crates/peridotslip/tests/fault_matrix.rs
@@ -264,11 +264,11 @@
             self.slow = Some((self.version, next));
             return None;
         }
-        self.store(next);
+        self.store(&next);
         (!std::mem::take(&mut self.lose_reply)).then_some(reply)
     }
 
-    fn store(&mut self, record: ShardRecord) {
+    fn store(&mut self, record: &ShardRecord) {
         self.record = ShardRecord::decode(&record.encode()).expect("it reads back");
         self.version += 1;
         let over: u64 = self
@@ -287,10 +287,10 @@
 
     /// The slow store comes to the swap that it still holds.
     fn land_slow(&mut self) {
-        if let Some((version, record)) = self.slow.take() {
-            if version == self.version {
-                self.store(record);
-            }
+        if let Some((version, record)) = self.slow.take()
+            && version == self.version
+        {
+            self.store(&record);
         }
     }
 
@@ -346,12 +346,10 @@
         self.at(router, Point::Arrived).then_some(())?;
         let key = self.key();
         if self.kind == Kind::Order {
-            match self.claim(router)? {
-                Some(ClaimVerdict::Granted) => {}
-                _ => {
-                    self.unclaim(router);
-                    return Some(Told::Unknown);
-                }
+            if let Some(ClaimVerdict::Granted) = self.claim(router)? {
+            } else {
+                self.unclaim(router);
+                return Some(Told::Unknown);
             }
         }
         let Some(reservation) = self.reserve(router)? else {
@@ -406,6 +404,8 @@
         })
     }
 
+    /// `None` if the router died, `Some(None)` without a verdict.
+    #[allow(clippy::option_option)]
     fn claim(&mut self, router: usize) -> Option<Option<ClaimVerdict>> {
         self.attempts += 1;
         let claim = Claim {
@@ -430,6 +430,8 @@
         }
     }
 
+    /// `None` if the router died, `Some(None)` without tokens.
+    #[allow(clippy::option_option)]
     fn reserve(&mut self, router: usize) -> Option<Option<Reservation>> {
         let budget = BudgetName::from(self.routers[router].budget);
         // Each of two budgets has half of what was paid.
