--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     answer::{Answer, Head},
-    controllers::{Controllers, ledger::Hold},
+    controllers::{Controllers, admission::Permit, ledger::Hold},
     metrics::Metrics,
     settings::Settings,
 };
@@ -68,6 +68,8 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) id: String,
     pub(crate) arrived: Instant,
+    /// When the request was last sent to a backend server.
+    pub(crate) sent: Instant,
     pub(crate) incoming: Incoming,
     pub(crate) answer: Arc<Answer>,
     pub(crate) index: Arc<Index>,
@@ -88,6 +90,8 @@
     pub(crate) answered_elsewhere: bool,
     /// Whether this router holds the claim of a key that may run once.
     pub(crate) holds_claim: bool,
+    /// The request's place in its pool.
+    pub(crate) permit: Option<Permit>,
     /// Tokens set aside, until they are settled or cancelled.
     pub(crate) hold: Option<Hold>,
     /// What the work cost, if a bill is due.
@@ -105,6 +109,7 @@
             shared,
             id: Uuid::now_v7().simple().to_string(),
             arrived: Instant::now(),
+            sent: Instant::now(),
             answer: Answer::new(keyed),
             incoming,
             index,
@@ -118,6 +123,7 @@
             adopted: None,
             answered_elsewhere: false,
             holds_claim: false,
+            permit: None,
             hold: None,
             usage: None,
             held_back: None,
@@ -134,6 +140,15 @@
         self.matched.as_ref().expect("the route filter runs first")
     }
 
+    /// Notes that the answer begins.
+    pub(crate) fn note_first_byte(&self) {
+        self.shared.metrics.first_byte(self.arrived.elapsed());
+        if let Some(permit) = &self.permit {
+            let deadline_ms = self.matched().route.deadline_ms;
+            permit.first_byte(self.sent.elapsed(), deadline_ms);
+        }
+    }
+
     /// The name under which backend servers know the work: the same for each
     /// retry of a key, so that a server can join or refuse a repeat.
     pub(crate) fn work_id(&self) -> String {
--- a/crates/peridotslip-daemon/src/controllers.rs
+++ b/crates/peridotslip-daemon/src/controllers.rs
@@ -4,6 +4,7 @@
 //! which it feeds with messages, time and the results of I/O. Handles hide
 //! the messages from the rest of the daemon.
 
+pub(crate) mod admission;
 pub(crate) mod backends;
 pub(crate) mod config;
 pub(crate) mod dedupe;
@@ -19,6 +20,7 @@
 
 /// Handles to every controller.
 pub(crate) struct Controllers {
+    pub(crate) admission: admission::AdmissionHandle,
     pub(crate) config: config::ConfigHandle,
     pub(crate) ledger: ledger::LedgerHandle,
     pub(crate) direct: Arc<ledger::Direct>,
--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -98,7 +98,8 @@
     Asked,
     /// The record had too few free; other routers are giving back.
     Recalling,
-    /// Other routers have given back what they held idle.
+    /// Other routers have given back what they held idle; what is left is set
+    /// aside for running requests, which may yet give some back.
     Recalled,
 }
 
@@ -318,8 +319,8 @@
         }
         let budget = &waiting.request.budget;
         match waiting.stage {
-            Stage::Recalled => false,
             Stage::Recalling | Stage::New => true,
+            Stage::Recalled => self.left_anywhere(budget) >= waiting.request.tokens,
             Stage::Asked => {
                 let told = self.told.get(budget).cloned().unwrap_or_default();
                 // Granted to this request and taken by a quicker one.
@@ -327,12 +328,12 @@
                     waiting.stage = Stage::New;
                     return true;
                 }
-                let anywhere = told.free + told.held_by_others + self.wallet.spendable(budget);
-                if told.held_by_others == 0 || anywhere < waiting.request.tokens {
+                if self.left_anywhere(budget) < waiting.request.tokens {
                     return false;
                 }
                 waiting.stage = Stage::Recalling;
                 if self.recalling.insert(budget.clone()) {
+                    self.metrics.event("recall", 1);
                     let (recall, shard) = (self.ways.recall.clone(), self.shard);
                     let (budget, me) = (budget.clone(), me.clone());
                     let holders = told.holders;
@@ -346,6 +347,12 @@
         }
     }
 
+    /// Tokens of a budget that are not billed, wherever they are held.
+    fn left_anywhere(&self, budget: &BudgetName) -> u64 {
+        let told = self.told.get(budget).cloned().unwrap_or_default();
+        told.free + told.held_by_others + self.wallet.held(budget)
+    }
+
     /// Refuses a request for its budget, counting it as false if tokens were
     /// left with other routers.
     fn refuse(&mut self, waiting: Waiting) {
--- a/crates/peridotslip-daemon/src/filters/admit.rs
+++ b/crates/peridotslip-daemon/src/filters/admit.rs
@@ -1,4 +1,7 @@
-//! Bounds how many requests this router works on.
+//! Bounds how many requests this router works on, and lets them into their
+//! pools by urgency and in turns.
+
+use std::time::Duration;
 
 use async_trait::async_trait;
 use peridotslip::prelude::*;
@@ -17,19 +20,24 @@
 #[async_trait]
 impl Filter for Admit {
     async fn call(&self, cx: &mut Cx, next: Next<'_>) -> Result<()> {
-        let Ok(_permit) = cx
-            .shared
-            .controllers
-            .open_requests
-            .clone()
-            .try_acquire_owned()
-        else {
+        let controllers = &cx.shared.controllers;
+        let Ok(_open) = controllers.open_requests.clone().try_acquire_owned() else {
             return Err(Refused::not_run(Refusal::QueueFull).retry_after(RETRY_AFTER_S));
         };
+        let (answer, keyed) = (cx.answer.clone(), cx.key.is_some());
+        let permit = tokio::select! {
+            permit = controllers.admission.enter(cx.matched()) => permit?,
+            () = answer.abandoned(Duration::ZERO), if !keyed => {
+                cx.abandoned = true;
+                return Ok(());
+            }
+        };
+        cx.permit = Some(permit);
         let shared = cx.shared.clone();
         shared.metrics.gauges.open_requests.add(1);
         let result = next.call(cx).await;
         shared.metrics.gauges.open_requests.sub(1);
+        cx.permit = None;
         result
     }
 }
--- a/crates/peridotslip-daemon/src/filters/dispatch.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch.rs
@@ -87,6 +87,7 @@
     let request = forward::request(cx, &client, &chosen.server);
     let keyed = cx.key.is_some();
     let answer = cx.answer.clone();
+    cx.sent = Instant::now();
     let sent = tokio::select! {
         sent = tokio::time::timeout_at(deadline(cx).into(), request.send()) => sent,
         () = answer.abandoned(Duration::ZERO), if !keyed => {
--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -60,7 +60,7 @@
         let server = HeaderValue::from_str(&chosen.server).map_err(|_| give_up_word())?;
         head.headers.insert(SERVER_HEADER, server);
     }
-    cx.shared.metrics.first_byte(cx.arrived.elapsed());
+    cx.note_first_byte();
     cx.answer.set_head(Ok(head));
     follow(cx, chosen, Some(first), Seen::default()).await
 }
--- a/crates/peridotslip-daemon/src/filters/dispatch/whole.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/whole.rs
@@ -22,6 +22,7 @@
     let headers = forward::answer_headers(response.headers());
     let limit = cx.shared.settings.limits.max_answer_bytes;
     let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
+    cx.note_first_byte();
     let keyed = cx.key.is_some();
     let answer = cx.answer.clone();
     let body = tokio::select! {
--- a/crates/peridotslip-daemon/src/filters/settle.rs
+++ b/crates/peridotslip-daemon/src/filters/settle.rs
@@ -41,7 +41,6 @@
         }
         if let Some(HeldBack { head, part }) = cx.held_back.take() {
             if let Some(head) = head {
-                cx.shared.metrics.first_byte(cx.arrived.elapsed());
                 cx.answer.set_head(Ok(head));
             }
             cx.answer.push(part).await;
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -18,6 +18,7 @@
     context::Shared,
     controllers::{
         Controllers,
+        admission::AdmissionHandle,
         backends::BackendsHandle,
         config::{self, ConfigHandle},
         dedupe::DedupeHandle,
@@ -149,6 +150,7 @@
         metrics: metrics.clone(),
     };
     Ok(Controllers {
+        admission: AdmissionHandle::spawn(),
         config: ConfigHandle::spawn(metrics.clone()),
         ledger: LedgerHandle::spawn(&settings.ledger, &ways),
         direct,
--- a/crates/peridotslip-standins/src/experiment/ledger.rs
+++ b/crates/peridotslip-standins/src/experiment/ledger.rs
@@ -151,6 +151,11 @@
         }
         let (router, since_ms) = match event {
             Event::Finish { router, used, id } => {
+                if struck && fault == Fault::Death && router == routers - 1 {
+                    // Its caller never got a whole answer.
+                    spent -= used;
+                    continue;
+                }
                 scheme.settle(router, id, used, now_ms);
                 continue;
             }
--- a/crates/peridotslip-standins/src/experiment/ledger/schemes.rs
+++ b/crates/peridotslip-standins/src/experiment/ledger/schemes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use peridotslip::prelude::*;
+use peridotslip::{ledger::Account, prelude::*};
 
 /// Time of a swap in the store, in milliseconds.
 const SWAP_MS: u64 = 3;
@@ -244,6 +244,11 @@
         }
     }
 
+    /// Whether no request runs that may give tokens back.
+    fn all_idle(&self) -> bool {
+        self.wallets.iter().all(|wallet| wallet.reserved() == 0)
+    }
+
     fn want(&mut self, router: usize, now_ms: u64) -> u64 {
         if !self.wanted[router] {
             self.wanted[router] = true;
@@ -275,16 +280,22 @@
                 Decision::Refuse
             }
             Reserve::Short => match self.recalled_at_ms[router] {
-                // After an exchange, a recall and another exchange.
+                // After an exchange, a recall and another exchange, what is
+                // left is set aside for requests that still run.
                 Some(at_ms) if now_ms >= at_ms + 2 * PACE_MS => {
                     self.recalled_at_ms[router] = None;
-                    Decision::Refuse
+                    if self.all_idle() {
+                        self.wallets[router].forget_needs();
+                        return Decision::Refuse;
+                    }
+                    Decision::Wait(self.want(router, now_ms))
                 }
                 Some(_) => Decision::Wait(self.want(router, now_ms)),
                 None => {
                     self.recalled_at_ms[router] = Some(now_ms);
+                    let free = self.record.account(&budget).map_or(paid, Account::free);
                     for other in 0..self.wallets.len() {
-                        if other != router && !self.unreachable[other] {
+                        if free < bound && other != router && !self.unreachable[other] {
                             self.wallets[other].recall(&budget);
                             self.want(other, now_ms);
                         }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -342,6 +342,13 @@
         self.purses.get(budget).map_or(0, Purse::spendable)
     }
 
+    /// Tokens of `budget` that are granted and not settled.
+    #[must_use]
+    pub fn held(&self, budget: &BudgetName) -> u64 {
+        let purse = self.purses.get(budget);
+        purse.map_or(0, |purse| purse.spendable() + purse.reserved)
+    }
+
     /// Tokens set aside over all budgets.
     #[must_use]
     pub fn reserved(&self) -> u64 {
--- /dev/null
+++ b/crates/peridotslip/tests/members.rs
@@ -0,0 +1,225 @@
+//! Views of the fleet: rumours, suspicion, refutation and duties.
+
+use std::collections::HashMap;
+
+use peridotslip::{
+    members::{Members, Node, PROBE_EVERY_MS, State},
+    prelude::*,
+};
+
+fn node(number: u128) -> Node {
+    Node {
+        address: format!("10.0.0.{number}:7"),
+        incarnation: Incarnation::from(100 + number),
+        firm: "qalam".to_owned(),
+        vm: format!("vm-{number}"),
+        data_centre: format!("dc-{}", number % 3),
+        revision: Revision::from(1),
+    }
+}
+
+/// Members that probe each other over a network which drops what `cut` says.
+struct Fleet {
+    members: Vec<Members>,
+    now_ms: u64,
+    messages: u64,
+    rumours: u64,
+}
+
+impl Fleet {
+    fn new(count: u128) -> Self {
+        let first = node(0).address;
+        let member = |number| {
+            let mut member = Members::new(node(number));
+            member.hint(std::iter::once(first.as_str()));
+            member
+        };
+        Self {
+            members: (0..count).map(member).collect(),
+            now_ms: 0,
+            messages: 0,
+            rumours: 0,
+        }
+    }
+
+    /// Lets every member that `up` names probe once.
+    fn round(&mut self, up: impl Fn(usize) -> bool) {
+        self.now_ms += PROBE_EVERY_MS;
+        let places: HashMap<String, usize> = self
+            .members
+            .iter()
+            .enumerate()
+            .map(|(place, member)| (member.me().address.clone(), place))
+            .collect();
+        for prober in (0..self.members.len()).filter(|place| up(*place)) {
+            let Some(address) = self.members[prober].tick(self.now_ms) else {
+                continue;
+            };
+            let target = places[&address];
+            if !up(target) {
+                self.members[prober].silent(&address, self.now_ms);
+                continue;
+            }
+            let known = self.members[prober]
+                .all()
+                .any(|(node, _)| node.address == address);
+            let said = self.members[prober].rumours(&address);
+            let from = self.members[prober].me().address.clone();
+            self.members[target].hear(&said, self.now_ms);
+            self.members[target].answered(&from, self.now_ms);
+            let answer = if known {
+                self.members[target].rumours(&from)
+            } else {
+                self.members[target].all_rumours()
+            };
+            self.messages += 2;
+            self.rumours += (said.len() + answer.len()) as u64;
+            self.members[prober].hear(&answer, self.now_ms);
+            self.members[prober].answered(&address, self.now_ms);
+        }
+    }
+
+    fn rounds_until(
+        &mut self,
+        limit: u32,
+        up: fn(usize) -> bool,
+        done: impl Fn(&Self) -> bool,
+    ) -> u32 {
+        for round in 0..limit {
+            if done(self) {
+                return round;
+            }
+            self.round(up);
+        }
+        panic!("not within {limit} rounds");
+    }
+}
+
+fn all_know(fleet: &Fleet, live: usize, up: fn(usize) -> bool) -> bool {
+    let mut views = fleet
+        .members
+        .iter()
+        .enumerate()
+        .filter(|(place, _)| up(*place));
+    views.all(|(_, member)| member.live().count() == live)
+}
+
+#[test]
+fn everyone_is_known_everywhere_from_one_seed() {
+    let mut fleet = Fleet::new(27);
+
+    let rounds = fleet.rounds_until(60, |_| true, |fleet| all_know(fleet, 27, |_| true));
+
+    assert!(rounds <= 40, "{rounds} rounds");
+}
+
+#[test]
+fn a_dead_router_is_found_by_all_and_its_duties_move_alone() {
+    let mut fleet = Fleet::new(9);
+    fleet.rounds_until(60, |_| true, |fleet| all_know(fleet, 9, |_| true));
+    let duties: Vec<String> = (0..100).map(|duty| format!("duty-{duty}")).collect();
+    let holders = |fleet: &Fleet| -> Vec<String> {
+        let view = &fleet.members[0];
+        let holder = |duty: &String| view.holder(duty).map(|node| node.address.clone());
+        duties.iter().filter_map(holder).collect()
+    };
+    let before = holders(&fleet);
+
+    let up = |place: usize| place != 4;
+    let rounds = fleet.rounds_until(40, up, |fleet| all_know(fleet, 8, |place| place != 4));
+
+    // Two probes a second each: found within 10 s by every router.
+    assert!(rounds <= 20, "{rounds} rounds");
+    let dead = node(4).address;
+    for (old, new) in before.iter().zip(holders(&fleet)) {
+        assert!(
+            *old == dead || *old == new,
+            "a duty moved from {old} to {new}"
+        );
+        assert_ne!(new, dead);
+    }
+}
+
+#[test]
+fn a_paused_router_that_was_taken_for_dead_is_taken_back() {
+    let mut fleet = Fleet::new(9);
+    fleet.rounds_until(60, |_| true, |fleet| all_know(fleet, 9, |_| true));
+    for _ in 0..30 {
+        fleet.round(|place| place != 4);
+    }
+    let dead = |member: &Members| {
+        let found = member.all().find(|(node, _)| node.vm == "vm-4");
+        found.is_some_and(|(_, state)| state == State::Dead)
+    };
+    assert!(
+        fleet
+            .members
+            .iter()
+            .enumerate()
+            .all(|(place, view)| place == 4 || dead(view))
+    );
+
+    let rounds = fleet.rounds_until(60, |_| true, |fleet| all_know(fleet, 9, |_| true));
+
+    assert!(rounds <= 50, "{rounds} rounds");
+}
+
+#[test]
+fn a_router_of_another_firm_is_never_taken_in() {
+    let mut mine = Members::new(node(1));
+    let foreign = Members::new(Node {
+        firm: "maraval".to_owned(),
+        ..node(2)
+    });
+    let address = foreign.me().address.clone();
+    mine.hint(std::iter::once(address.as_str()));
+
+    mine.hear(&foreign.all_rumours(), 1);
+    mine.hint(std::iter::once(address.as_str()));
+
+    assert_eq!(mine.live().count(), 1);
+    assert_eq!(mine.tick(PROBE_EVERY_MS), None);
+}
+
+#[test]
+fn a_leaving_router_has_no_duties_and_a_restart_replaces_it() {
+    let (mut one, mut two) = (Members::new(node(1)), Members::new(node(2)));
+    two.hear(&one.all_rumours(), 1);
+    assert_eq!(two.live().count(), 2);
+
+    one.leave();
+    two.hear(&one.all_rumours(), 2);
+    assert!((0..50).all(|duty| two.holder(&duty.to_string()) == Some(two.me())));
+
+    let again = Members::new(Node {
+        incarnation: Incarnation::from(999),
+        ..node(1)
+    });
+    two.hear(&again.all_rumours(), 3);
+    assert_eq!(
+        two.incarnations()[node(1).address.as_str()],
+        Incarnation::from(999)
+    );
+}
+
+#[test]
+fn traffic_for_each_router_does_not_grow_with_the_fleet() {
+    let per_round = |count: u128| {
+        let mut fleet = Fleet::new(count);
+        for _ in 0..150 {
+            fleet.round(|_| true);
+        }
+        (fleet.messages, fleet.rumours) = (0, 0);
+        for _ in 0..40 {
+            fleet.round(|_| true);
+        }
+        let rounds = 40 * u64::try_from(count).expect("it is small");
+        // In hundredths for each router and round.
+        (fleet.messages * 100 / rounds, fleet.rumours * 100 / rounds)
+    };
+
+    let (small, large) = (per_round(9), per_round(81));
+
+    assert!((180..=220).contains(&large.0), "messages: {large:?}");
+    assert!(large.1 < small.1 * 2, "rumours: {small:?}, {large:?}");
+}
