Bound the keys that a record remembers; swap sooner for claims

(2) An order waited for the writer's pace twice.

Change: keys of repeatable work stay a quarter of an hour, claims two hours; past 23,000 keys the oldest repeatable ones go, past 25,000 no claim is granted. Groups with claims keep a third of the pace.

--- a/crates/peridotslip-daemon/src/controllers/ledger.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger.rs
@@ -217,7 +217,9 @@
                 run: Run::Ran,
                 retry_after_s: None,
             }),
-            ClaimVerdict::Finished(Outcome::NotRun) => Err(unavailable(Refusal::LedgerUnavailable)),
+            ClaimVerdict::Full | ClaimVerdict::Finished(Outcome::NotRun) => {
+                Err(unavailable(Refusal::LedgerUnavailable))
+            }
         }
     }
 
--- a/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
@@ -25,6 +25,8 @@
 const MAX_GROUP: usize = 1_024;
 /// Submissions that wait.
 const MAX_WAITING: usize = 4_096;
+/// The pace is so many times as fast while claims wait.
+const URGENT_SHARE: u32 = 3;
 /// Swaps tried for one group before its submitters are told to try again.
 const MAX_TRIES: u32 = 16;
 
@@ -53,6 +55,18 @@
     Holders(oneshot::Sender<Result<Vec<Holder>>>),
 }
 
+impl Order {
+    fn is_urgent(&self) -> bool {
+        match self {
+            Self::Change(Submission {
+                change: Change::Apply(reports),
+                ..
+            }) => reports.iter().any(|report| !report.claims.is_empty()),
+            _ => false,
+        }
+    }
+}
+
 /// A handle to a shard's writing task.
 pub(crate) struct Writer {
     tx: mpsc::Sender<Order>,
@@ -123,12 +137,7 @@
     async fn run(mut self, mut rx: mpsc::Receiver<Order>) {
         let mut orders = Vec::new();
         while rx.recv_many(&mut orders, MAX_GROUP).await > 0 {
-            self.keep_pace().await;
-            while orders.len() < MAX_GROUP
-                && let Ok(order) = rx.try_recv()
-            {
-                orders.push(order);
-            }
+            self.gather(&mut rx, &mut orders).await;
             let mut group = Vec::new();
             for order in orders.drain(..) {
                 match order {
@@ -154,11 +163,24 @@
         }
     }
 
-    /// Waits until the next swap may start.
-    async fn keep_pace(&self) {
-        let since = self.last_swap.map(|at| at.elapsed());
-        if let Some(rest) = since.and_then(|since| self.pace.checked_sub(since)) {
-            tokio::time::sleep(rest).await;
+    /// Takes further orders in until the next swap may start: sooner if a
+    /// request waits for a claim.
+    async fn gather(&self, rx: &mut mpsc::Receiver<Order>, orders: &mut Vec<Order>) {
+        while orders.len() < MAX_GROUP {
+            let urgent = orders.iter().any(Order::is_urgent);
+            let pace = if urgent {
+                self.pace / URGENT_SHARE
+            } else {
+                self.pace
+            };
+            let since = self.last_swap.map(|at| at.elapsed());
+            let Some(rest) = since.and_then(|since| pace.checked_sub(since)) else {
+                return;
+            };
+            match tokio::time::timeout(rest, rx.recv()).await {
+                Ok(Some(order)) => orders.push(order),
+                _ => return,
+            }
         }
     }
 
--- a/crates/peridotslip-standins/src/experiment.rs
+++ b/crates/peridotslip-standins/src/experiment.rs
@@ -1,10 +1,12 @@
 //! Seeded experiments on the library's decision logic, in simulated time.
 //!
 //! `ledger` compares ways of spending a budget from many routers, `routing`
-//! compares ways of choosing an engine. Each prints one JSON object a line.
+//! compares ways of choosing an engine, `size` tells what state and traffic
+//! cost as the fleet grows. Each prints one JSON object a line.
 
 mod ledger;
 mod routing;
+mod size;
 
 use std::process::ExitCode;
 
@@ -17,7 +19,7 @@
     /// Seed of arrivals and sizes
     #[bpaf(argument("N"), fallback(20_261_203))]
     seed: u64,
-    /// What to compare: ledger or routing
+    /// What to compare: ledger, routing or size
     #[bpaf(positional("WHAT"))]
     what: String,
 }
@@ -27,7 +29,10 @@
     match options.what.as_str() {
         "ledger" => ledger::run(options.seed),
         "routing" => routing::run(options.seed),
-        other => return Err(format!("no experiment `{other}`; name ledger or routing").into()),
+        "size" => size::run(),
+        other => {
+            return Err(format!("no experiment `{other}`; name ledger, routing or size").into());
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -14,8 +14,18 @@
     util,
 };
 
-/// How long a request key is remembered, in milliseconds.
-const KEY_RETENTION_MS: u64 = 2 * 60 * 60 * 1000;
+/// How long the key of work that may not be repeated is remembered, in
+/// milliseconds: longer than any caller retries.
+const CLAIM_RETENTION_MS: u64 = 2 * 60 * 60 * 1000;
+/// How long the key of other work is remembered, in milliseconds: as long as
+/// its answer can be replayed. A later retry runs and is billed again.
+const KEY_RETENTION_MS: u64 = 15 * 60 * 1000;
+/// Most keys that a record remembers, which keeps it under the store's limit
+/// of 1 MB at 25 bytes a key. Past it, the oldest keys of work that may be
+/// repeated are forgotten first, and then no claim is granted.
+const MAX_KEYS: usize = 25_000;
+/// Room for the claims of one group of reports.
+const KEY_HEADROOM: usize = 2_000;
 /// How long a closed incarnation is remembered, in milliseconds.
 const CLOSED_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
 /// How long an unmet need asks other wallets for their idle grants, in
@@ -57,6 +67,24 @@
     pub state: KeyState,
 }
 
+impl KeyEntry {
+    /// Whether the key stands for work that may not be repeated.
+    fn runs_once(&self) -> bool {
+        match self.state {
+            KeyState::Claimed { .. } => true,
+            KeyState::Billed { fingerprint, .. } => fingerprint.is_some(),
+        }
+    }
+
+    fn retention_ms(&self) -> u64 {
+        if self.runs_once() {
+            CLAIM_RETENTION_MS
+        } else {
+            KEY_RETENTION_MS
+        }
+    }
+}
+
 /// The sequence numbers that have been applied for one incarnation.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Applied {
@@ -216,11 +244,13 @@
             && self.keys == other.keys
     }
 
-    /// Forgets request keys and closed incarnations past their retention.
+    /// Forgets request keys and closed incarnations past their retention, and
+    /// older keys if there are too many.
     pub fn expire(&mut self) {
         let clock_ms = self.clock_ms;
         self.keys
-            .retain(|_, entry| entry.at_ms + KEY_RETENTION_MS > clock_ms);
+            .retain(|_, entry| entry.at_ms + entry.retention_ms() > clock_ms);
+        self.evict_keys();
         self.incarnations.retain(|_, applied| {
             applied
                 .closed_at_ms
@@ -228,6 +258,24 @@
         });
     }
 
+    /// Makes room by forgetting the oldest keys of work that may be repeated.
+    fn evict_keys(&mut self) {
+        let excess = self.keys.len().saturating_sub(MAX_KEYS - KEY_HEADROOM);
+        if excess == 0 {
+            return;
+        }
+        let mut repeatable: Vec<(u64, RequestKey)> = self
+            .keys
+            .iter()
+            .filter(|(_, entry)| !entry.runs_once())
+            .map(|(key, entry)| (entry.at_ms, *key))
+            .collect();
+        repeatable.sort_unstable();
+        for (_, key) in repeatable.into_iter().take(excess) {
+            self.keys.remove(&key);
+        }
+    }
+
     fn settle(&mut self, incarnation: Incarnation, settlement: &Settlement) -> Verdict {
         let applied = self.incarnations.entry(incarnation).or_default();
         if !applied.insert(settlement.seq) {
@@ -317,6 +365,7 @@
                 _ => ClaimVerdict::Finished(outcome),
             },
             None if closed => ClaimVerdict::Held,
+            None if self.keys.len() >= MAX_KEYS => ClaimVerdict::Full,
             None => {
                 let state = KeyState::Claimed {
                     holder: incarnation,
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -141,6 +141,8 @@
     Finished(Outcome),
     /// The key belongs to a request with another fingerprint.
     OtherRequest,
+    /// The record remembers too many keys to take another; nobody holds it.
+    Full,
 }
 
 /// A record's answer about one budget.
--- a/crates/peridotslip/tests/ledger.rs
+++ b/crates/peridotslip/tests/ledger.rs
@@ -305,3 +305,79 @@
     let account = record.account(&budget).expect("it has been named");
     assert_eq!((account.overspend(), account.settled), (0, 10));
 }
+
+#[test]
+fn remembered_keys_are_bounded_and_claims_are_never_forgotten_for_room() {
+    const MOST: usize = 25_000;
+    let mut record = ShardRecord::default();
+    let claim = |number: u128| Claim {
+        key: RequestKey::from(number),
+        attempt: 1,
+        fingerprint: Fingerprint::from(1),
+    };
+    let claims = |from: u128, to: u128| Report {
+        incarnation: Incarnation::from(1),
+        claims: (from..to).map(claim).collect(),
+        ..Report::default()
+    };
+    let mut wallet = Wallet::new(Incarnation::from(2));
+    wallet.set_paid(&BUDGET.into(), 1_000_000);
+    assert_eq!(wallet.reserve(&BUDGET.into(), 100_000, 0), Reserve::Short);
+    let reply = record.apply(&wallet.report(0), 0);
+    wallet.accept(&reply);
+    for number in 0..20_000 {
+        let Reserve::Held(reservation) = wallet.reserve(&BUDGET.into(), 1, 1) else {
+            panic!("it was granted");
+        };
+        let key = RequestKey::from(1_000_000 + number);
+        wallet.settle(reservation, Bill::new(Some(key), 1), 1);
+    }
+    record.apply(&wallet.report(1), 1);
+
+    let mut full = 0;
+    for from in (0..30_000).step_by(1_000) {
+        record.expire();
+        let reply = record.apply(&claims(from, from + 1_000), 2);
+        full += reply
+            .claims
+            .iter()
+            .filter(|(_, verdict)| *verdict == ClaimVerdict::Full)
+            .count();
+    }
+
+    assert_eq!(record.key_count(), MOST);
+    assert!(
+        record.encode().len() < 1_000_000,
+        "{} bytes",
+        record.encode().len()
+    );
+    assert!((0..25_000).all(|number| record.key(RequestKey::from(number)).is_some()));
+    assert_eq!(full, 5_000);
+}
+
+#[test]
+fn orders_are_remembered_for_two_hours_and_other_keys_for_a_quarter() {
+    let (minute, hour) = (60_000, 3_600_000);
+    let mut record = ShardRecord::default();
+    let order = Claim {
+        key: RequestKey::from(1),
+        attempt: 1,
+        fingerprint: Fingerprint::from(1),
+    };
+    record.apply(
+        &Report {
+            incarnation: Incarnation::from(1),
+            claims: vec![order],
+            ..Report::default()
+        },
+        0,
+    );
+    let later = |record: &mut ShardRecord, now_ms: u64| {
+        record.release(Incarnation::from(9), now_ms);
+        record.expire();
+        record.key(RequestKey::from(1)).is_some()
+    };
+
+    assert!(later(&mut record, hour + 50 * minute));
+    assert!(!later(&mut record, 2 * hour + minute));
+}
