--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -198,7 +198,7 @@
             connect_timeout_ms: 500,
             silence_timeout_ms: 5_000,
             load_poll_ms: 500,
-            policy: "two-choices".to_owned(),
+            policy: "prefix-affinity".to_owned(),
         }
     }
 }
