Refuse to spend if routers cut the ledger differently

Cause: two routers with different ledger.shards would have kept a budget in two records and spent it twice; nothing compared the settings.

Change: the number is in the store, written by the first router; nothing is exchanged before it has been compared, and peers name it with each report.

Without the check it answered them from a record of its own.

--- a/crates/peridotslip-daemon/src/controllers/ledger.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger.rs
@@ -6,6 +6,7 @@
 
 mod direct;
 mod doubt;
+mod layout;
 mod recall;
 mod shard;
 mod via_writer;
@@ -50,6 +51,10 @@
         Unreachable(reason: String) {
             display("the ledger can't be reached ({reason}); it is tried again")
         }
+        /// The store knows of another number of shards.
+        Layout(mine: u16, theirs: String) {
+            display("ledger.shards is {mine} here and {theirs} in the store; correct the settings, nothing is spent until then")
+        }
     }
 }
 
--- a/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Error, LedgerPath, Result,
+    layout::Layout,
     writer::{Holder, Writer},
 };
 use crate::{metrics::Metrics, settings::LedgerSettings};
@@ -18,6 +19,7 @@
 /// Writers for all shards, in this process.
 pub(crate) struct Direct {
     writers: Vec<Writer>,
+    layout: Layout,
 }
 
 impl Direct {
@@ -32,11 +34,17 @@
         let writers = (0..settings.shards)
             .map(|shard| Writer::spawn(key(shard), pace, store.clone(), metrics.clone()))
             .collect();
-        Self { writers }
+        let layout = Layout::new(firm, settings.shards, store.clone());
+        Self { writers, layout }
     }
 }
 
 impl Direct {
+    /// How many shards this router cuts the ledger into.
+    pub(crate) fn shards(&self) -> u16 {
+        u16::try_from(self.writers.len()).unwrap_or(u16::MAX)
+    }
+
     fn writer(&self, shard: u16) -> Result<&Writer> {
         let missing = || Error::Unreachable(format!("no shard {shard}"));
         self.writers.get(usize::from(shard)).ok_or_else(missing)
@@ -48,6 +56,7 @@
         shard: u16,
         reports: Vec<Report>,
     ) -> Result<Vec<ReportReply>> {
+        self.layout.agree().await?;
         self.writer(shard)?.submit(reports).await
     }
 
--- a/crates/peridotslip-daemon/src/controllers/ledger/via_writer.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/via_writer.rs
@@ -103,7 +103,11 @@
         if mine {
             return self.direct.exchange_here(shard, reports).await;
         }
-        let ask = Ask::Exchange { shard, reports };
+        let ask = Ask::Exchange {
+            shards: self.direct.shards(),
+            shard,
+            reports,
+        };
         let timeout = Duration::from_millis(WRITER_TIMEOUT_MS);
         match self.client.ask(writer, &ask, timeout).await {
             Ok(Answer::Exchanged(Some(replies))) => Ok(replies),
--- a/crates/peridotslip-daemon/src/peer/server.rs
+++ b/crates/peridotslip-daemon/src/peer/server.rs
@@ -99,8 +99,16 @@
             let timeout = Duration::from_millis(PROBE_FOR_TIMEOUT_MS);
             Answer::Reached(controllers.members.reaches(&address, timeout).await)
         }
-        Ask::Exchange { shard, reports } => {
-            Answer::Exchanged(controllers.direct.exchange_here(shard, reports).await.ok())
+        Ask::Exchange {
+            shards,
+            shard,
+            reports,
+        } => {
+            let direct = &controllers.direct;
+            if shards != direct.shards() {
+                return Answer::Exchanged(None);
+            }
+            Answer::Exchanged(direct.exchange_here(shard, reports).await.ok())
         }
         Ask::Keep { copies, safe } => {
             controllers
--- a/crates/peridotslip-daemon/src/peer/wire.rs
+++ b/crates/peridotslip-daemon/src/peer/wire.rs
@@ -15,8 +15,13 @@
     Probe { rumours: Vec<Rumour>, all: bool },
     /// Does this other router answer you?
     ProbeFor { address: String },
-    /// Apply these reports to a shard's record.
-    Exchange { shard: u16, reports: Vec<Report> },
+    /// Apply these reports to a shard's record, if the ledger is cut into so
+    /// many shards.
+    Exchange {
+        shards: u16,
+        shard: u16,
+        reports: Vec<Report>,
+    },
     /// Keep copies of bills, and drop those that are safe.
     Keep {
         copies: Vec<Copy>,
--- a/crates/peridotslip-daemon/tests/common/fleet.rs
+++ b/crates/peridotslip-daemon/tests/common/fleet.rs
@@ -183,6 +183,11 @@
 
     /// Starts one more router, `number` deciding its data centre.
     pub fn start_router(&mut self, number: usize) {
+        self.start_router_with(number, SHARDS);
+    }
+
+    /// Starts a router that cuts the ledger into so many shards.
+    pub fn start_router_with(&mut self, number: usize, shards: u16) {
         let data_centre = format!("om-north-{}", ["a", "b", "c"][number % 3]);
         let mut store = self.store.clone();
         if self.plan.store_relays {
@@ -206,7 +211,7 @@
 store: {{address: \"{store}\", timeout_ms: 500}}
 vm_list: {{address: \"{}\", poll_ms: 200}}
 peers: [{}]
-ledger: {{shards: {SHARDS}, in_doubt_hold_s: 3}}
+ledger: {{shards: {shards}, in_doubt_hold_s: 3}}
 log: {{file: \"{}\"}}
 {}",
             self.vms,
--- a/crates/peridotslip-daemon/tests/faults.rs
+++ b/crates/peridotslip-daemon/tests/faults.rs
@@ -488,3 +488,25 @@
         );
     }
 }
+
+#[test]
+fn a_router_that_cuts_the_ledger_otherwise_spends_nothing() {
+    let _alone = alone();
+    let mut fleet = Fleet::start(&Plan::default());
+    let before = fleet.load(&["--model=tagline", "--count=20", "--rate=100"]);
+
+    fleet.start_router_with(3, common::fleet::SHARDS + 1);
+    fleet.wait_ready();
+    let refused = fleet.load_at(
+        &[3],
+        &["--model=tagline", "--count=10", "--rate=50", "--seed=2"],
+    );
+
+    assert_eq!(number(&before, "answered"), 20, "{before}");
+    assert_eq!(
+        refused["refused"],
+        json!({ "ledger-unavailable/not-run": 10 }),
+        "{refused}"
+    );
+    assert_eq!(all_settled(&fleet).settled, number(&before, "tokens"));
+}
