Count refusals on the cut-off side apart

Cause: the ledger experiment mixed the refusals of a cut-off router, which has spent what it held, with those of the connected side.

--- a/crates/peridotslip-standins/src/experiment/ledger.rs
+++ b/crates/peridotslip-standins/src/experiment/ledger.rs
@@ -34,6 +34,8 @@
 struct Figures {
     requests: u64,
     refused: u64,
+    /// Refusals by the router that is cut off: it has spent what it held.
+    refused_cut_off: u64,
     false_refusals: u64,
     /// Tokens neither billed nor spent at the first false refusal.
     unspent_at_first: Option<u64>,
@@ -104,6 +106,7 @@
         "fault": format!("{fault:?}"),
         "requests": figures.requests,
         "refused": figures.refused,
+        "refused_cut_off": figures.refused_cut_off,
         "false_refusals_per_10000": share(figures.false_refusals * 10_000, figures.requests),
         "unspent_percent_at_first_false_refusal":
             figures.unspent_at_first.map(|tokens| 100.0 * share(tokens, paid)),
@@ -135,6 +138,7 @@
     let (mut spent, mut last_id, mut refused_in_a_row) = (0_u64, 0, 0);
     let mut next_arrival = 0.0_f64;
     let mut struck = false;
+    let cut_off = |router: usize| fault == Fault::Cut && router == routers - 1;
     events.push(Reverse((0, Event::Arrive)));
     while let Some(Reverse((now_ms, event))) = events.pop() {
         if now_ms > limit_ms || refused_in_a_row > 200 {
@@ -196,6 +200,7 @@
                 let retry = Event::Retry { router, since_ms };
                 events.push(Reverse((until_ms.max(now_ms + 1), retry)));
             }
+            Decision::Refuse if cut_off(router) && struck => figures.refused_cut_off += 1,
             Decision::Refuse => {
                 refused_in_a_row += 1;
                 figures.refused += 1;
