--- a/crates/peridotslip-daemon/src/controllers/members.rs
+++ b/crates/peridotslip-daemon/src/controllers/members.rs
@@ -140,6 +140,20 @@
         self.publish();
     }
 
+    /// Probes a few live routers at once, so that they hear of this one's
+    /// state.
+    fn tell_some(&mut self, whom: impl Fn(&Node) -> bool, me: &ActorRef<Self>) {
+        let others: Vec<String> = self
+            .members
+            .live_others()
+            .filter(|node| whom(node))
+            .map(|node| node.address.clone())
+            .collect();
+        for address in others.choose_multiple(&mut rand::rng(), PUSH_FANOUT) {
+            self.probe(address.clone(), me.clone());
+        }
+    }
+
     /// Probes `address` in the background, with the help of others if it
     /// doesn't answer.
     fn probe(&mut self, address: String, me: ActorRef<Self>) {
@@ -245,19 +259,7 @@
 
     async fn handle(&mut self, InForce(revision): InForce, cx: &mut Context<Self, ()>) {
         self.members.set_revision(revision);
-        let others: Vec<String> = self
-            .members
-            .live_others()
-            .filter(|node| node.revision < revision)
-            .map(|node| node.address.clone())
-            .collect();
-        let told: Vec<String> = others
-            .choose_multiple(&mut rand::rng(), PUSH_FANOUT)
-            .cloned()
-            .collect();
-        for address in told {
-            self.probe(address, cx.actor_ref().clone());
-        }
+        self.tell_some(|node| node.revision < revision, cx.actor_ref());
         self.publish();
     }
 }
@@ -267,18 +269,7 @@
 
     async fn handle(&mut self, _: Leave, cx: &mut Context<Self, ()>) {
         self.members.leave();
-        let others: Vec<String> = self
-            .members
-            .live_others()
-            .map(|node| node.address.clone())
-            .collect();
-        let told: Vec<String> = others
-            .choose_multiple(&mut rand::rng(), PUSH_FANOUT)
-            .cloned()
-            .collect();
-        for address in told {
-            self.probe(address, cx.actor_ref().clone());
-        }
+        self.tell_some(|_| true, cx.actor_ref());
         self.publish();
     }
 }
--- a/crates/peridotslip-daemon/tests/callers.rs
+++ b/crates/peridotslip-daemon/tests/callers.rs
@@ -10,7 +10,8 @@
 
 use common::{
     alone, eventually,
-    fleet::{Fleet, Plan, metric, send},
+    fleet::{Fleet, Plan, metric},
+    http::send,
     tables::{MUSCAT_KEY, NIZWA_KEY},
 };
 use reqwest::{Client, RequestBuilder};
--- a/crates/peridotslip-daemon/tests/common/mod.rs
+++ b/crates/peridotslip-daemon/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Each test file uses some of it.
 
 pub mod fleet;
+pub mod http;
 pub mod tables;
 
 use std::{
--- a/crates/peridotslip-daemon/tests/faults.rs
+++ b/crates/peridotslip-daemon/tests/faults.rs
@@ -6,22 +6,12 @@
 
 use common::{
     alone, eventually,
-    fleet::{Fleet, Money, Plan, get, metric, report, send},
+    fleet::{Fleet, Money, Plan, metric, number, report},
+    http::send,
     tables::{MUSCAT_KEY, Shape},
 };
 use reqwest::Client;
-use serde_json::{Value, json};
-
-fn number(report: &Value, field: &str) -> u64 {
-    report[field].as_u64().unwrap_or_default()
-}
-
-fn all_settled(fleet: &Fleet) -> Money {
-    eventually("every bill is recorded", || {
-        fleet.total("peridotslip_unconfirmed_settlements") < 0.5
-    });
-    fleet.money()
-}
+use serde_json::json;
 
 #[test]
 fn callers_tokens_and_bills_agree_over_three_routers() {
@@ -44,7 +34,7 @@
         assert_eq!(report["broken"], json!({}), "{report}");
     }
     let expected = number(&streamed, "tokens") + number(&whole, "tokens") + 600;
-    let money = all_settled(&fleet);
+    let money = fleet.all_settled();
     assert_eq!((money.settled, money.overspent), (expected, 0));
     assert_eq!(fleet.runs(), vec![1; 60]);
 }
@@ -74,7 +64,7 @@
     assert_eq!(fleet.engine_stat("started"), 60);
     assert_eq!(fleet.runs(), vec![1; 60]);
     let expected = number(&streams, "tokens") + 600;
-    assert_eq!(all_settled(&fleet).settled, expected);
+    assert_eq!(fleet.all_settled().settled, expected);
 }
 
 #[test]
@@ -198,7 +188,7 @@
     assert_eq!(number(&report, "answered"), 60, "{report}");
     assert!(fleet.total("peridotslip_events_total{event=\"stream-adopted\"") > 0.0);
     assert_eq!(fleet.engine_stat("started"), 60);
-    assert_eq!(all_settled(&fleet).settled, number(&report, "tokens"));
+    assert_eq!(fleet.all_settled().settled, number(&report, "tokens"));
 }
 
 #[test]
@@ -214,7 +204,7 @@
     for key in &keys {
         assert_eq!(order(&fleet, 0, key).status, 201);
     }
-    let _ = all_settled(&fleet);
+    let _ = fleet.all_settled();
 
     fleet.kill(2);
     fleet.kill(1);
@@ -282,7 +272,7 @@
     assert_eq!(number(&models, "answered"), 40, "{models}");
     assert!(fleet.total("peridotslip_retries_total{reason=\"store-reply-lost\"") > 0.0);
     assert_eq!(fleet.runs(), vec![1; 40]);
-    assert_eq!(all_settled(&fleet).settled, number(&models, "tokens") + 400);
+    assert_eq!(fleet.all_settled().settled, number(&models, "tokens") + 400);
 }
 
 #[test]
@@ -299,7 +289,7 @@
 
     let report = fleet.load(&["--model=tagline", "--count=200", "--rate=200"]);
 
-    let money = all_settled(&fleet);
+    let money = fleet.all_settled();
     assert_eq!(money.settled, number(&report, "tokens"));
     assert!(money.settled <= 6_000 && money.overspent == 0, "{money:?}");
     let refused = report["refused"]["budget-exhausted/not-run"]
@@ -340,7 +330,7 @@
     let after = fleet.load(&["--model=tagline", "--count=60", "--rate=60", "--seed=3"]);
     assert_eq!(number(&after, "answered"), 60, "{after}");
     let tokens = [&before, &during, &after].map(|report| number(report, "tokens"));
-    let money = all_settled(&fleet);
+    let money = fleet.all_settled();
     assert_eq!((money.settled, money.overspent), (tokens.iter().sum(), 0));
 }
 
@@ -370,87 +360,7 @@
     let report = report(&load.wait_with_output().expect("it ends"));
     assert_eq!(number(&report, "answered"), 30, "{report}");
     assert!(fleet.total("peridotslip_retries_total{reason=\"stream-silent\"") > 0.0);
-    assert_eq!(all_settled(&fleet).settled, number(&report, "tokens"));
-}
-
-#[test]
-fn a_router_cut_from_the_store_takes_tables_from_its_peers() {
-    let _alone = alone();
-    let fleet = Fleet::start(&Plan {
-        store_relays: true,
-        ..Plan::default()
-    });
-    let revision = |router: usize| {
-        let url = format!("http://{}/status", fleet.routers[router].operators);
-        let status: Value =
-            serde_json::from_str(&get(&url).unwrap_or_default()).unwrap_or_default();
-        number(&status, "revision")
-    };
-    fleet.store_relays[2].set("cut");
-
-    fleet.apply(&Shape {
-        deadline_ms: 9_000,
-        ..Shape::default()
-    });
-
-    assert!((0..3).all(|router| revision(router) == 2));
-    let report = fleet.load(&["--model=tagline", "--count=60", "--rate=60"]);
-    assert_eq!(number(&report, "answered"), 60, "{report}");
-}
-
-#[test]
-fn a_new_router_in_a_store_outage_takes_tables_from_its_peers() {
-    let _alone = alone();
-    let mut fleet = Fleet::start(&Plan::default());
-    fleet.store_faults(&json!({ "down": true }));
-
-    fleet.start_router(3);
-
-    fleet.wait_ready();
-    let url = format!("http://{}/readyz", fleet.routers[3].operators);
-    assert!(get(&url).is_some());
-}
-
-#[test]
-fn racing_operators_both_succeed_on_different_rows_and_one_on_the_same() {
-    let _alone = alone();
-    let fleet = Fleet::start(&Plan::default());
-    let edit = |field: &str| fleet.tool(&["edit", "route", "tagline", field]);
-    let (mine, theirs) = (
-        fleet.dir.path().join("mine"),
-        fleet.dir.path().join("theirs"),
-    );
-    let dirs = [mine.display().to_string(), theirs.display().to_string()];
-    for dir in &dirs {
-        assert!(fleet.tool(&["get", dir]).status.success());
-    }
-    let replace = |dir: &str, from: &str, to: &str| {
-        let file = format!("{dir}/routes.yaml");
-        let text = std::fs::read_to_string(&file).expect("get wrote it");
-        assert!(text.contains(from), "{text}");
-        std::fs::write(&file, text.replacen(from, to, 1)).expect("it can be written");
-    };
-    replace(&dirs[0], "deadline_ms: 20000", "deadline_ms: 11000");
-    replace(&dirs[1], "tokens_per_call: 10", "tokens_per_call: 11");
-
-    let both = [
-        fleet.tool(&["apply", &dirs[0]]),
-        fleet.tool(&["apply", &dirs[1]]),
-    ];
-    let again = fleet.tool(&["apply", &dirs[0]]);
-    let same_row = fleet.tool(&["edit", "route", "tagline", "deadline_ms=12000"]);
-    let stale = {
-        replace(&dirs[0], "deadline_ms: 11000", "deadline_ms: 13000");
-        fleet.tool(&["apply", &dirs[0]])
-    };
-
-    assert!(both.iter().all(|output| output.status.success()));
-    assert!(again.status.success() && same_row.status.success());
-    assert_eq!(stale.status.code(), Some(1));
-    let told = String::from_utf8_lossy(&stale.stderr).into_owned();
-    assert!(told.contains("12000"), "{told}");
-    assert_eq!(edit("deadline_ms=0").status.code(), Some(1));
-    assert_eq!(edit("nonsense=1").status.code(), Some(2));
+    assert_eq!(fleet.all_settled().settled, number(&report, "tokens"));
 }
 
 #[test]
@@ -470,7 +380,7 @@
         send(request.header("idempotency-key", key.to_owned()).body("{}"))
     };
     assert_eq!(order(&fleet, "first").status, 201);
-    let _ = all_settled(&fleet);
+    let _ = fleet.all_settled();
     fleet.kill(1);
     fleet.kill(2);
 
@@ -488,25 +398,3 @@
         );
     }
 }
-
-#[test]
-fn a_router_that_cuts_the_ledger_otherwise_spends_nothing() {
-    let _alone = alone();
-    let mut fleet = Fleet::start(&Plan::default());
-    let before = fleet.load(&["--model=tagline", "--count=20", "--rate=100"]);
-
-    fleet.start_router_with(3, common::fleet::SHARDS + 1);
-    fleet.wait_ready();
-    let refused = fleet.load_at(
-        &[3],
-        &["--model=tagline", "--count=10", "--rate=50", "--seed=2"],
-    );
-
-    assert_eq!(number(&before, "answered"), 20, "{before}");
-    assert_eq!(
-        refused["refused"],
-        json!({ "ledger-unavailable/not-run": 10 }),
-        "{refused}"
-    );
-    assert_eq!(all_settled(&fleet).settled, number(&before, "tokens"));
-}
--- a/crates/peridotslip-daemon/tests/load.rs
+++ b/crates/peridotslip-daemon/tests/load.rs
@@ -6,7 +6,8 @@
 
 use common::{
     alone, eventually,
-    fleet::{Fleet, Plan, get, metric, report},
+    fleet::{Fleet, Plan, metric, report},
+    http::get,
     tables::Shape,
 };
 use serde_json::{Value, json};
--- a/crates/peridotslip/tests/fault_matrix.rs
+++ b/crates/peridotslip/tests/fault_matrix/world.rs
@@ -1,8 +1,4 @@
-//! Every fault at every step of a request, then pairs of faults.
-//!
-//! Two routers, a keeper of copies, a record in a store and a back end are
-//! played step by step, on the wallets, record, copies and doubts that the
-//! daemon runs. Each cell names the invariants that it checked.
+//! The world that the cells are played in.
 
 use std::collections::BTreeMap;
 
@@ -12,18 +8,15 @@
     prelude::*,
     witness::{Copies, Copy, CopyId},
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const COST: u64 = 10;
 const BOUND: u64 = 15;
 const PAID: u64 = 100;
 const TRIES: usize = 2;
 const HOLD_MS: u64 = 10_000;
-const PAIRS: usize = 60_000;
-const SEED: u64 = 20_261_203;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
+pub enum Fault {
     Kill,
     Pause,
     CutFromStore,
@@ -39,7 +32,7 @@
     PlannedStop,
 }
 
-const FAULTS: [Fault; 13] = [
+pub const FAULTS: [Fault; 13] = [
     Fault::Kill,
     Fault::Pause,
     Fault::CutFromStore,
@@ -58,7 +51,7 @@
 /// Points of a request at which a fault may strike: before and after each
 /// message and write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Point {
+pub enum Point {
     Arrived,
     ClaimMade,
     ClaimSwapped,
@@ -76,7 +69,7 @@
     Released,
 }
 
-const POINTS: [Point; 15] = [
+pub const POINTS: [Point; 15] = [
     Point::Arrived,
     Point::ClaimMade,
     Point::ClaimSwapped,
@@ -96,7 +89,7 @@
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
     /// Work that may not be repeated, under a key.
     Order,
     /// Work that may be repeated, under a key.
@@ -105,11 +98,11 @@
     Unkeyed,
 }
 
-const KINDS: [Kind; 3] = [Kind::Order, Kind::Keyed, Kind::Unkeyed];
+pub const KINDS: [Kind; 3] = [Kind::Order, Kind::Keyed, Kind::Unkeyed];
 
 /// What a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Told {
+pub enum Told {
     Whole,
     NotRun,
     Unknown,
@@ -117,7 +110,7 @@
 }
 
 #[allow(clippy::struct_excessive_bools)] // One for each fault.
-struct Router {
+pub struct Router {
     wallet: Wallet,
     budget: &'static str,
     dead: bool,
@@ -144,7 +137,7 @@
 }
 
 #[allow(clippy::struct_excessive_bools)] // One for each fault.
-struct World {
+pub struct World {
     kind: Kind,
     plan: Vec<(Point, Fault)>,
     routers: Vec<Router>,
@@ -157,19 +150,19 @@
     lose_reply: bool,
     copies: Copies,
     paid: u64,
-    runs: u64,
-    delivered: u64,
-    struck: usize,
+    pub runs: u64,
+    pub delivered: u64,
+    pub struck: usize,
     healed: bool,
     now_ms: u64,
     attempts: u64,
-    checks: BTreeMap<&'static str, u64>,
+    pub checks: BTreeMap<&'static str, u64>,
 }
 
 const KEY: u128 = 77;
 
 impl World {
-    fn new(kind: Kind, plan: Vec<(Point, Fault)>) -> Self {
+    pub fn new(kind: Kind, plan: Vec<(Point, Fault)>) -> Self {
         Self {
             kind,
             plan,
@@ -324,7 +317,7 @@
     }
 
     /// A caller's request at one router, from arrival to answer.
-    fn request(&mut self, router: usize) -> Told {
+    pub fn request(&mut self, router: usize) -> Told {
         let told = self.serve(router).unwrap_or(Told::Nothing);
         match told {
             Told::NotRun => {
@@ -502,7 +495,7 @@
     }
 
     /// Heals everything, lets the caller ask again, and ends all processes.
-    fn recover(&mut self, first: Told) {
+    pub fn recover(&mut self, first: Told) {
         self.healed = true;
         self.down = false;
         self.be_slow = false;
@@ -538,7 +531,7 @@
         }
     }
 
-    fn final_checks(&mut self) {
+    pub fn final_checks(&mut self) {
         let settled: u64 = self
             .record
             .accounts()
@@ -563,67 +556,3 @@
         }
     }
 }
-
-/// Plays one cell and returns how often each invariant was checked.
-fn play(kind: Kind, plan: Vec<(Point, Fault)>) -> (usize, BTreeMap<&'static str, u64>) {
-    let mut world = World::new(kind, plan);
-    let first = world.request(0);
-    world.recover(first);
-    world.final_checks();
-    (world.struck, world.checks)
-}
-
-/// Points that a kind of request never passes.
-fn passes(kind: Kind, point: Point) -> bool {
-    let claims = [Point::ClaimMade, Point::ClaimSwapped, Point::ClaimAnswered];
-    kind == Kind::Order || !claims.contains(&point)
-}
-
-#[test]
-fn every_fault_at_every_step() {
-    let mut cells = 0;
-    for kind in KINDS {
-        for point in POINTS.into_iter().filter(|point| passes(kind, *point)) {
-            for fault in FAULTS {
-                let (struck, checks) = play(kind, vec![(point, fault)]);
-
-                assert!(struck > 0, "{kind:?} never came to {point:?}");
-                let invariants: Vec<&str> = checks.into_keys().collect();
-                println!("{kind:?} {point:?} {fault:?}: {}", invariants.join("; "));
-                cells += 1;
-            }
-        }
-    }
-    assert_eq!(cells, FAULTS.len() * (POINTS.len() * KINDS.len() - 6));
-}
-
-#[test]
-fn pairs_of_faults() {
-    let mut rng = SmallRng::seed_from_u64(SEED);
-    let pick = |rng: &mut SmallRng| {
-        let point = POINTS[rng.random_range(0..POINTS.len())];
-        (point, FAULTS[rng.random_range(0..FAULTS.len())])
-    };
-    for _ in 0..PAIRS {
-        let kind = KINDS[rng.random_range(0..KINDS.len())];
-        let plan = vec![pick(&mut rng), pick(&mut rng)];
-        play(kind, plan);
-    }
-}
-
-#[test]
-fn without_faults_the_answer_is_whole_and_billed_once() {
-    for kind in KINDS {
-        let mut world = World::new(kind, Vec::new());
-
-        let told = world.request(0);
-        world.recover(told);
-        world.final_checks();
-
-        assert_eq!(
-            (told, world.runs, world.delivered),
-            (Told::Whole, 1, 1),
-            "{kind:?}"
-        );
-    }
-}
