--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -64,6 +64,8 @@
     exchanging: bool,
     due: bool,
     last_attempt: u64,
+    /// What this shard has added to the figure of reserved tokens.
+    shown_reserved: u64,
 }
 
 impl ShardController {
@@ -86,6 +88,7 @@
             exchanging: false,
             due: false,
             last_attempt: 0,
+            shown_reserved: 0,
         };
         let actor = Spawn::spawn_with_mailbox(controller, mailbox::unbounded());
         let weak = actor.downgrade();
@@ -189,6 +192,7 @@
                     seq,
                 });
                 if let Some(tx) = self.settling.remove(&(incarnation, seq)) {
+                    self.metrics.gauges.unconfirmed_settlements.sub(1);
                     let _ = tx.send(());
                 }
             }
@@ -219,12 +223,13 @@
         self.serve_waiting(me);
     }
 
-    fn show(&self) {
-        let gauges = &self.metrics.gauges;
-        gauges
-            .unconfirmed_settlements
-            .set(self.settling.len() as u64);
-        gauges.reserved_tokens.set(self.wallet.reserved());
+    /// Adds this shard's change to the figure that all shards share.
+    fn show(&mut self) {
+        let gauge = &self.metrics.gauges.reserved_tokens;
+        let reserved = self.wallet.reserved();
+        gauge.add(reserved.saturating_sub(self.shown_reserved));
+        gauge.sub(self.shown_reserved.saturating_sub(reserved));
+        self.shown_reserved = reserved;
     }
 }
 
@@ -291,6 +296,7 @@
                 .send(Copy { id, settlement }, msg.copied_tx);
         }
         self.settling.insert((msg.incarnation, seq), msg.tx);
+        self.metrics.gauges.unconfirmed_settlements.add(1);
         self.exchange_after(cx.actor_ref(), self.group);
     }
 }
--- a/crates/peridotslip-daemon/tests/faults.rs
+++ b/crates/peridotslip-daemon/tests/faults.rs
@@ -147,6 +147,7 @@
     std::thread::sleep(Duration::from_millis(800));
 
     fleet.kill(2);
+    let died = std::time::Instant::now();
     fleet.list_vms();
 
     let second = report(&load.wait_with_output().expect("it ends"));
@@ -159,6 +160,7 @@
     eventually("only live routers hold grants", || {
         fleet.money().holders == 2
     });
+    println!("grants free {:?} after the death", died.elapsed());
     assert_eq!(fleet.money().overspent, 0);
     assert!(fleet.stop(0) && fleet.stop(1));
     assert_eq!(fleet.money().granted, 0);
