--- a/crates/peridotslip-platform/src/memory.rs
+++ b/crates/peridotslip-platform/src/memory.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Mutex,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
@@ -39,6 +39,8 @@
 #[derive(Default)]
 struct State {
     keys: BTreeMap<String, Versioned>,
+    /// When keys under a lease go, unless their lease is renewed.
+    leases: BTreeMap<String, Instant>,
     faults: Faults,
     reads: u64,
     writes: u64,
@@ -70,6 +72,27 @@
         (state.reads, state.writes)
     }
 
+    /// Writes a key under a lease: as [`swap`](Store::swap), and the key goes
+    /// unless it is written again within `ttl`.
+    ///
+    /// # Errors
+    ///
+    /// As [`swap`](Store::swap).
+    pub async fn swap_leased(
+        &self,
+        key: &str,
+        version: u64,
+        value: &[u8],
+        ttl: Duration,
+    ) -> Result<u64> {
+        let result = self.swap(key, version, value).await;
+        if matches!(result, Ok(_) | Err(Error::ReplyLost(_))) {
+            let until = Instant::now() + ttl;
+            self.lock().leases.insert(key.to_owned(), until);
+        }
+        result
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state
             .lock()
@@ -91,7 +114,8 @@
     }
 
     fn read_after(&self, key: &str, after: u64) -> Option<Versioned> {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.lapse(key);
         state
             .keys
             .get(key)
@@ -101,7 +125,20 @@
 }
 
 impl State {
+    /// Removes a key whose lease has run out.
+    fn lapse(&mut self, key: &str) {
+        let over = self
+            .leases
+            .get(key)
+            .is_some_and(|until| *until <= Instant::now());
+        if over {
+            self.leases.remove(key);
+            self.keys.remove(key);
+        }
+    }
+
     fn swap(&mut self, key: &str, version: u64, value: &[u8]) -> Result<u64> {
+        self.lapse(key);
         let current = self.keys.get(key).map_or(0, |found| found.version);
         if current != version {
             return Err(Error::Conflict(current));
--- a/crates/peridotslip-standins/src/store.rs
+++ b/crates/peridotslip-standins/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value store, over HTTP.
 //!
-//! `GET /kv/KEY[?after=V&wait_ms=N]`, `PUT /kv/KEY?if_version=V`,
+//! `GET /kv/KEY[?after=V&wait_ms=N]`, `PUT /kv/KEY?if_version=V[&ttl_ms=N]`,
 //! `PUT /faults` to make it fail and `GET /calls` to count.
 
 use std::{
@@ -98,6 +98,8 @@
 #[derive(Deserialize)]
 struct SwapQuery {
     if_version: u64,
+    /// Makes the write a lease of so many milliseconds.
+    ttl_ms: Option<u64>,
 }
 
 /// Runs the store.
@@ -156,7 +158,12 @@
     if !allowed(&server.writes) {
         return StatusCode::TOO_MANY_REQUESTS.into_response();
     }
-    match server.store.swap(&key, query.if_version, &body).await {
+    let version = query.if_version;
+    let swapped = match query.ttl_ms.map(Duration::from_millis) {
+        Some(ttl) => server.store.swap_leased(&key, version, &body, ttl).await,
+        None => server.store.swap(&key, version, &body).await,
+    };
+    match swapped {
         Ok(version) => versioned(StatusCode::OK, version, Vec::new()),
         Err(Error::Conflict(version)) => {
             versioned(StatusCode::PRECONDITION_FAILED, version, Vec::new())
--- a/crates/peridotslip/src/admission.rs
+++ b/crates/peridotslip/src/admission.rs
@@ -13,15 +13,17 @@
 /// Requests in flight that are always allowed.
 const MIN_LIMIT: f64 = 4.0;
 /// The limit before anything is known.
-const FIRST_LIMIT: f64 = 64.0;
+const FIRST_LIMIT: f64 = 256.0;
 /// A first byte is late after this part of its deadline.
 const LATE_SHARE: f64 = 0.5;
+/// The limit rises only while this share of it is in use.
+const NEARLY_FULL: f64 = 0.8;
 /// What is left of the limit after a late first byte.
 const BACK_OFF: f64 = 0.97;
 /// Time constant of the estimates, in finished requests.
 const SMOOTHING: f64 = 0.05;
 /// Most requests that wait for a pool in one router.
-const MAX_WAITING: usize = 1_024;
+const MAX_WAITING: usize = 4_096;
 
 /// A request's number, given by the caller of this module.
 pub type Ticket = u64;
@@ -99,6 +101,9 @@
 #[derive(Debug)]
 pub struct Gate {
     limit: f64,
+    /// Whether no first byte has been late yet, so that the limit rises with
+    /// each one in time.
+    probing: bool,
     in_flight: u32,
     queues: BTreeMap<DeadlineClass, ClassQueue>,
     /// Smoothed milliseconds between two finished requests while busy.
@@ -112,6 +117,7 @@
     fn default() -> Self {
         Self {
             limit: FIRST_LIMIT,
+            probing: true,
             in_flight: 0,
             queues: BTreeMap::new(),
             gap_ms: None,
@@ -158,9 +164,10 @@
         let elapsed = as_f64(elapsed_ms);
         self.first_byte_ms += SMOOTHING * (elapsed - self.first_byte_ms);
         if elapsed > as_f64(deadline_ms) * LATE_SHARE {
+            self.probing = false;
             self.limit = (self.limit * BACK_OFF).max(MIN_LIMIT);
-        } else if f64::from(self.in_flight) >= self.limit * 0.8 {
-            self.limit += 1.0 / self.limit;
+        } else if f64::from(self.in_flight) >= self.limit * NEARLY_FULL {
+            self.limit += if self.probing { 1.0 } else { 1.0 / self.limit };
         }
     }
 
--- a/crates/peridotslip/tests/admission.rs
+++ b/crates/peridotslip/tests/admission.rs
@@ -103,3 +103,19 @@
     assert!(low < first / 4.0, "{low} of {first}");
     assert!(gate.limit() > low * 2.0, "{} of {low}", gate.limit());
 }
+
+#[test]
+fn the_limit_doubles_in_a_round_until_a_first_byte_is_late() {
+    let (mut gate, taken) = full_gate();
+
+    for _ in 0..taken {
+        gate.first_byte(5, 1_000);
+    }
+    let doubled = gate.limit();
+    gate.first_byte(900, 1_000);
+    let before = gate.limit();
+    gate.first_byte(5, 1_000);
+
+    assert!(doubled > 1.2 * f64::from(u32::try_from(taken).expect("it is small")));
+    assert!(gate.limit() - before < 1.0);
+}
