Keep "unknown" when a further server can't be tried

Cause: an unkeyed request whose first server took it in and hung up, and whose second could not be connected to, was refused as not-run: the last try's word stood for all.

Change: once a try may have run, the refusal says unknown.

--- a/crates/peridotslip-daemon/src/filters/dispatch.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch.rs
@@ -45,7 +45,7 @@
             return next.call(cx).await;
         }
         let mut tried = Vec::new();
-        let mut last = None;
+        let mut last: Option<Refused> = None;
         for _ in 0..MAX_TRIES {
             let backends = cx.shared.controllers.backends.clone();
             let matched = cx.matched().clone();
@@ -60,8 +60,13 @@
             tried.push(chosen.server.clone());
             match attempt(cx, chosen).await? {
                 Tried::Answered => return next.call(cx).await,
-                Tried::Again(reason, refused) => {
+                Tried::Again(reason, mut refused) => {
                     cx.shared.metrics.retried(reason);
+                    // What one server may have run stays unknown, whatever
+                    // the next says.
+                    if let Some(before) = last {
+                        refused.run = graver(before.run, refused.run);
+                    }
                     last = Some(refused);
                 }
             }
@@ -70,6 +75,11 @@
     }
 }
 
+/// What two tries together leave to say.
+fn graver(first: Run, second: Run) -> Run {
+    if first == Run::NotRun { second } else { first }
+}
+
 /// A hash of the prompt's start.
 fn affinity(cx: &Cx) -> u64 {
     let body = &cx.incoming.body;
--- a/crates/peridotslip-daemon/tests/callers.rs
+++ b/crates/peridotslip-daemon/tests/callers.rs
@@ -12,7 +12,7 @@
     alone, eventually,
     fleet::{Fleet, Plan, metric},
     http::send,
-    tables::{MUSCAT_KEY, NIZWA_KEY},
+    tables::{MUSCAT_KEY, NIZWA_KEY, Shape},
 };
 use reqwest::{Client, RequestBuilder};
 use serde_json::{Value, json};
@@ -278,3 +278,34 @@
         "first byte at {first} of {total} us"
     );
 }
+
+/// A server that takes a request in and closes without an answer.
+fn server_that_hangs_up() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut stream = stream;
+            let _ = stream.read(&mut [0; 4096]);
+        }
+    });
+    address
+}
+
+#[test]
+fn work_that_one_server_may_have_run_is_not_told_not_run_for_another() {
+    let _alone = alone();
+    let mut fleet = one_router();
+    fleet.engines = vec![server_that_hangs_up(), "127.0.0.1:9".to_owned()];
+    fleet.apply(&Shape::default());
+    for number in 0..12 {
+        let mut body = good();
+        body["messages"] = json!([number.to_string().repeat(40)]);
+
+        let reply = send(completion(&fleet, &body));
+
+        let (reason, run) = reply.refusal();
+        let ejected = reason == "no-backend";
+        assert!(ejected || run == "unknown", "{number}: {}", reply.body);
+    }
+}
