Vouch for no key before the tables are there; count grants

Cause: a router without tables told a keyed request not-run, though an earlier attempt elsewhere may have run; grants were not counted.

Change: refusals before the filters say unknown for a keyed request of a known caller or a router without tables; event grant.

--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -19,6 +19,8 @@
 
 /// Tells the router that forwarded a request which server streams the answer.
 pub(crate) const SERVER_HEADER: &str = "x-peridotslip-server";
+/// The caller's idempotency key.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
 /// Names the request at the router that worked on it.
 pub(crate) const HOME_HEADER: &str = "x-peridotslip-request";
 
@@ -104,7 +106,7 @@
 
 impl Cx {
     pub(crate) fn new(shared: Arc<Shared>, index: Arc<Index>, incoming: Incoming) -> Self {
-        let keyed = incoming.headers.contains_key("idempotency-key");
+        let keyed = incoming.headers.contains_key(KEY_HEADER);
         Self {
             shared,
             id: Uuid::now_v7().simple().to_string(),
--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -202,6 +202,7 @@
                 }
             }
             for grant in &reply.grants {
+                self.metrics.event("grant", 1);
                 let told = Told {
                     free: grant.free,
                     held_by_others: grant.held_by_others,
--- a/crates/peridotslip-daemon/src/filters/route.rs
+++ b/crates/peridotslip-daemon/src/filters/route.rs
@@ -7,7 +7,7 @@
 
 use super::{Filter, Next};
 use crate::{
-    context::{Completion, Cx},
+    context::{Completion, Cx, KEY_HEADER},
     problem::{Refused, Result},
 };
 
@@ -106,7 +106,7 @@
 }
 
 fn key(headers: &HeaderMap, organisation: Option<&OrganisationName>) -> Result<Option<RequestKey>> {
-    let (Some(value), Some(organisation)) = (headers.get("idempotency-key"), organisation) else {
+    let (Some(value), Some(organisation)) = (headers.get(KEY_HEADER), organisation) else {
         return Ok(None);
     };
     let text = value.to_str().unwrap_or_default();
--- a/crates/peridotslip-daemon/src/server.rs
+++ b/crates/peridotslip-daemon/src/server.rs
@@ -12,7 +12,7 @@
     Json, Router,
     body::Body,
     extract::State,
-    http::{HeaderValue, Request, Response, StatusCode, header},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
     routing::get,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -27,7 +27,7 @@
 
 use crate::{
     answer::Follower,
-    context::{Cx, HOME_HEADER, Incoming, Shared},
+    context::{Cx, HOME_HEADER, Incoming, KEY_HEADER, Shared},
     filters::Chain,
     problem::{Refused, Result},
     settings::Limits,
@@ -59,7 +59,8 @@
     let index = shared.controllers.config.index();
     if index.revision().value() == 0 {
         let refused = Refused::not_run(Refusal::NotConfigured);
-        return refuse(&shared, &refused.retry_after(NOT_CONFIGURED_RETRY_S));
+        let refused = refused.retry_after(NOT_CONFIGURED_RETRY_S);
+        return refuse(&shared, &parts.headers, refused);
     }
     let incoming = Incoming {
         method: parts.method,
@@ -70,7 +71,7 @@
     let mut cx = Cx::new(shared.clone(), index, incoming);
     match read_body(&cx, body).await {
         Ok(body) => cx.incoming.body = body,
-        Err(refused) => return refuse(&shared, &refused),
+        Err(refused) => return refuse(&shared, &cx.incoming.headers, refused),
     }
     let id = cx.id.clone();
     let follower = cx.answer.follow();
@@ -84,7 +85,13 @@
     response
 }
 
-fn refuse(shared: &Shared, refused: &Refused) -> Response<Body> {
+/// Refuses a request before the filters have seen it. An earlier request of
+/// its key may have run, unless the caller is not known at all.
+fn refuse(shared: &Shared, headers: &HeaderMap, mut refused: Refused) -> Response<Body> {
+    let keyed = headers.contains_key(KEY_HEADER);
+    if keyed && refused.refusal != Refusal::Unauthenticated {
+        refused.run = Run::Unknown;
+    }
     shared.metrics.refused(refused.refusal);
     refused.response("")
 }
--- a/crates/peridotslip-daemon/tests/callers.rs
+++ b/crates/peridotslip-daemon/tests/callers.rs
@@ -10,8 +10,8 @@
 
 use common::{
     alone, eventually,
-    fleet::{Fleet, Plan, metric},
-    http::send,
+    fleet::{Fleet, Plan, free_address, metric, program},
+    http::{get, send},
     tables::{MUSCAT_KEY, NIZWA_KEY, Shape},
 };
 use reqwest::{Client, RequestBuilder};
@@ -309,3 +309,40 @@
         assert!(ejected || run == "unknown", "{number}: {}", reply.body);
     }
 }
+
+#[test]
+fn a_router_without_tables_says_when_to_come_back_and_vouches_for_no_key() {
+    let _alone = alone();
+    let dir = tempfile::TempDir::new().expect("a directory can be made");
+    let settings = dir.path().join("settings.yaml");
+    let addresses: Vec<String> = (0..3).map(|_| free_address()).collect();
+    let text = format!(
+        "firm: qalam\nvm: lone\ndata_centre: here\nstore: {{address: \"127.0.0.1:9\"}}\nlog: {{level: error}}\n\
+         listen: {{callers: \"{}\", operators: \"{}\", peers: \"{}\"}}\n",
+        addresses[0], addresses[1], addresses[2]
+    );
+    std::fs::write(&settings, text).expect("it can be written");
+    let mut router = program("peridotslipd")
+        .arg("--settings")
+        .arg(&settings)
+        .spawn()
+        .expect("it is built");
+    let ready = format!("http://{}/healthz", addresses[1]);
+    eventually("the router answers", || get(&ready).is_some());
+    let url = format!("http://{}/v1/completions", addresses[0]);
+    let request = || {
+        Client::new()
+            .post(&url)
+            .bearer_auth(MUSCAT_KEY)
+            .json(&good())
+    };
+
+    let plain = send(request());
+    let keyed = send(request().header("idempotency-key", "k"));
+
+    router.kill().expect("it runs");
+    router.wait().expect("it was ended");
+    assert_eq!(plain.refusal(), ("not-configured", "not-run"));
+    assert_eq!(keyed.refusal(), ("not-configured", "unknown"));
+    assert!(plain.headers.contains_key("retry-after") && keyed.headers.contains_key("retry-after"));
+}
--- a/crates/peridotslip-daemon/tests/common/fleet.rs
+++ b/crates/peridotslip-daemon/tests/common/fleet.rs
@@ -84,7 +84,8 @@
 /// connections, so that none of them takes it before its process does.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
-fn free_address() -> String {
+/// An address that nothing listens on.
+pub fn free_address() -> String {
     let first = 12_000 + u16::try_from(std::process::id() % 80).unwrap_or(0) * 200;
     loop {
         let port = first + NEXT_PORT.fetch_add(1, Ordering::Relaxed);
