Count a stream's first part, not its head, as the first byte

Change: the head goes to the caller with the first part; the deadline holds until then, and a request that passes it gets its final answer at once.

--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -39,11 +39,16 @@
     Abandoned,
     /// The engine went past its order.
     Overrun,
+    /// The first part did not come by the deadline.
+    Late,
 }
 
 /// What has been seen of a stream.
 #[derive(Default)]
 struct Seen {
+    /// The head, until the first part: engines send it before they have
+    /// begun.
+    head: Option<Head>,
     /// Events that are part of the answer.
     parts: u64,
     usage: Option<u64>,
@@ -60,16 +65,21 @@
         let server = HeaderValue::from_str(&chosen.server).map_err(|_| give_up_word())?;
         head.headers.insert(SERVER_HEADER, server);
     }
-    cx.note_first_byte();
-    cx.answer.set_head(Ok(head));
-    follow(cx, chosen, Some(first), Seen::default()).await
+    let seen = Seen {
+        head: Some(head),
+        ..Seen::default()
+    };
+    follow(cx, chosen, Some(first), seen).await
 }
 
 /// Goes on with a stream whose first parts came through a router that is
 /// lost.
 pub(super) async fn adopt(cx: &mut Cx, server: String, parts: u64) -> Result<()> {
     cx.shared.metrics.event("stream-adopted", 1);
-    let seen = Seen { parts, usage: None };
+    let seen = Seen {
+        parts,
+        ..Seen::default()
+    };
     let chosen = cx.shared.controllers.backends.adopt(server);
     follow(cx, chosen, None, seen).await.map(drop)
 }
@@ -92,6 +102,7 @@
             Ended::Done => return Ok(done(cx, chosen, &seen)),
             Ended::Abandoned => return cancel(cx, chosen).await,
             Ended::Overrun => return overrun(cx, chosen),
+            Ended::Late => return late(cx, chosen),
             Ended::Broken => RetryReason::StreamResumed,
             Ended::Silent => RetryReason::StreamSilent,
         };
@@ -116,7 +127,9 @@
     let mut splitter = Splitter::default();
     let mut stream = response.bytes_stream();
     let keyed = cx.key.is_some();
+    let due = super::deadline(cx);
     loop {
+        let begun = seen.head.is_none();
         let bytes = tokio::select! {
             next = tokio::time::timeout(silence, stream.next()) => match next {
                 Ok(Some(Ok(bytes))) => bytes,
@@ -124,6 +137,7 @@
                 Err(_) => return Ended::Silent,
             },
             () = cx.answer.abandoned(Duration::ZERO), if !keyed => return Ended::Abandoned,
+            () = tokio::time::sleep_until(due.into()), if !begun => return Ended::Late,
         };
         if splitter.push(&bytes).is_err() {
             return Ended::Broken;
@@ -132,6 +146,10 @@
         if seen.parts > max_parts {
             return Ended::Overrun;
         }
+        if let Some(head) = seen.head.take_if(|_| done || !part.is_empty()) {
+            cx.note_first_byte();
+            cx.answer.set_head(Ok(head));
+        }
         if !part.is_empty() {
             cx.answer.push(part).await;
         }
@@ -189,6 +207,17 @@
     cx.bound - max_tokens + parts.min(max_tokens)
 }
 
+/// Nothing has been given to the caller, so it gets its final answer at once.
+fn late(cx: &Cx, chosen: Chosen) -> Result<Tried> {
+    if let Some(permit) = &cx.permit {
+        let deadline_ms = cx.matched().route.deadline_ms;
+        permit.first_byte(cx.sent.elapsed(), deadline_ms);
+    }
+    cancel_in_background(cx, &chosen.server);
+    chosen.finish(Finish::Neutral);
+    Err(Refused::unknown(Refusal::BackendTimeout))
+}
+
 fn overrun(cx: &mut Cx, chosen: Chosen) -> Result<Tried> {
     cx.shared.metrics.event("engine-overrun", 1);
     cancel_in_background(cx, &chosen.server);
