--- a/crates/peridotslip/tests/fault_matrix/main.rs
+++ b/crates/peridotslip/tests/fault_matrix/main.rs
@@ -4,13 +4,15 @@
 //! played step by step, on the wallets, record, copies and doubts that the
 //! daemon runs. Each cell names the invariants that it checked.
 
+mod cells;
 mod world;
 
 use std::collections::BTreeMap;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use world::{FAULTS, Fault, KINDS, Kind, POINTS, Point, Told, World};
+use cells::{FAULTS, Fault, KINDS, Kind, POINTS, Point};
+use world::{Told, World};
 
 const PAIRS: usize = 60_000;
 const SEED: u64 = 20_261_203;
