--- a/crates/peridotslip-cli/src/commands.rs
+++ b/crates/peridotslip-cli/src/commands.rs
@@ -12,7 +12,7 @@
     ids::{BudgetName, Revision},
     ledger, tables as rows,
 };
-use peridotslip_platform::TableError;
+use peridotslip_store::TableError;
 use quick_error::quick_error;
 
 use crate::{files, output::Format, remote::Remote};
@@ -37,7 +37,7 @@
             display("{err}")
         }
         /// The store can't be reached.
-        Store(err: peridotslip_platform::Error) {
+        Store(err: peridotslip_store::Error) {
             from()
             display("{err}")
         }
--- a/crates/peridotslip-cli/src/remote.rs
+++ b/crates/peridotslip-cli/src/remote.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use peridotslip::{ids::Revision, ledger::ShardRecord};
-use peridotslip_platform::{HttpStore, Store, TableStore};
+use peridotslip_store::{HttpStore, Store, TableStore};
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{Error, Result};
--- a/crates/peridotslip-daemon/src/backend/sse.rs
+++ b/crates/peridotslip-daemon/src/backend/sse.rs
@@ -1,11 +1,7 @@
-//! Cutting a stream of server-sent events into whole events.
+//! What the events of a stream mean.
 
-use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-/// Largest event, in bytes; a longer one counts as a broken stream.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
-
 /// What an event is, as far as the router cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -19,43 +15,6 @@
     Comment,
 }
 
-/// Gathers bytes until events are whole.
-#[derive(Debug, Default)]
-pub(crate) struct Splitter {
-    buf: BytesMut,
-}
-
-/// An event passes the size limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct TooLong;
-
-impl Splitter {
-    /// Adds bytes as they came.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
-        self.buf.extend_from_slice(bytes);
-        if self.buf.len() > MAX_EVENT_BYTES && find_end(&self.buf).is_none() {
-            return Err(TooLong);
-        }
-        Ok(())
-    }
-
-    /// The next whole event, with its closing blank line.
-    pub(crate) fn next(&mut self) -> Option<Bytes> {
-        let end = find_end(&self.buf)?;
-        Some(self.buf.split_to(end).freeze())
-    }
-}
-
-/// The length of the first event, its closing blank line included.
-fn find_end(buf: &[u8]) -> Option<usize> {
-    let newline = |at: usize| buf.get(at) == Some(&b'\n');
-    buf.iter().enumerate().find_map(|(at, byte)| match byte {
-        b'\n' if newline(at + 1) => Some(at + 2),
-        b'\n' if buf.get(at + 1) == Some(&b'\r') && newline(at + 2) => Some(at + 3),
-        _ => None,
-    })
-}
-
 #[derive(Deserialize)]
 struct WithUsage {
     usage: Option<Total>,
--- a/crates/peridotslip-daemon/src/controllers/backends.rs
+++ b/crates/peridotslip-daemon/src/controllers/backends.rs
@@ -14,7 +14,7 @@
     prelude::*,
     tables::{Index, Matched},
 };
-use peridotslip_platform::{Vm, VmState};
+use peridotslip_store::{Vm, VmState};
 use rand::Rng;
 use serde::Deserialize;
 use tokio::{sync::oneshot, task::AbortHandle};
--- a/crates/peridotslip-daemon/src/controllers/config.rs
+++ b/crates/peridotslip-daemon/src/controllers/config.rs
@@ -12,7 +12,7 @@
     message::{Context, Message},
 };
 use peridotslip::{config::Head, prelude::*, tables::Index};
-use peridotslip_platform::{Store, TableError, TableStore};
+use peridotslip_store::{Store, TableError, TableStore};
 use tokio::sync::watch;
 
 use super::members::MembersHandle;
--- a/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/direct.rs
@@ -7,7 +7,7 @@
     ledger::{Report, ReportReply},
     prelude::*,
 };
-use peridotslip_platform::Store;
+use peridotslip_store::Store;
 
 use super::{
     Error, LedgerPath, Result,
--- a/crates/peridotslip-daemon/src/controllers/ledger/layout.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/layout.rs
@@ -9,7 +9,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use peridotslip_platform::{Error as StoreError, Store};
+use peridotslip_store::{Error as StoreError, Store};
 
 use super::{Error, Result};
 
--- a/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/writer.rs
@@ -15,7 +15,7 @@
     ledger::{Report, ReportReply, ShardRecord},
     prelude::*,
 };
-use peridotslip_platform::{Error as StoreError, Store};
+use peridotslip_store::{Error as StoreError, Store};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Error, Result};
--- a/crates/peridotslip-daemon/src/controllers/members.rs
+++ b/crates/peridotslip-daemon/src/controllers/members.rs
@@ -12,7 +12,7 @@
     members::{self, Members, Node, PROBE_EVERY_MS, Rumour, State},
     prelude::*,
 };
-use peridotslip_platform::Vm;
+use peridotslip_store::Vm;
 use rand::seq::IndexedRandom;
 use tokio::sync::{oneshot, watch};
 
--- a/crates/peridotslip-daemon/src/filters/dedupe.rs
+++ b/crates/peridotslip-daemon/src/filters/dedupe.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use peridotslip::events::Splitter;
 use peridotslip::prelude::*;
 
 use super::{Filter, Next};
 use crate::{
     answer::{Answer, Head},
-    backend::sse::{self, Splitter},
+    backend::sse,
     clock,
     context::{Cx, HOME_HEADER, SERVER_HEADER},
     peer::{self, ForwardedRequest, Frame, header_pairs},
@@ -143,7 +144,7 @@
         if self.server.is_none() || self.splitter.push(part).is_err() {
             return;
         }
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.next_event() {
             match sse::kind(&event) {
                 sse::Kind::Part => self.parts += 1,
                 sse::Kind::Usage(_) => self.usage = true,
--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -5,6 +5,7 @@
 use axum::http::HeaderValue;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
+use peridotslip::events::Splitter;
 use peridotslip::{balance::Finish, prelude::*};
 use reqwest::Response;
 
@@ -13,7 +14,7 @@
     answer::Head,
     backend::{
         forward,
-        sse::{self, Kind, Splitter},
+        sse::{self, Kind},
     },
     context::{Cx, HeldBack, SERVER_HEADER, Usage},
     controllers::backends::Chosen,
@@ -163,7 +164,7 @@
 fn take_events(splitter: &mut Splitter, seen: &mut Seen) -> (Bytes, bool) {
     let mut events: Vec<Bytes> = Vec::new();
     let mut done = false;
-    while let Some(event) = splitter.next() {
+    while let Some(event) = splitter.next_event() {
         match sse::kind(&event) {
             Kind::Done => {
                 done = true;
--- a/crates/peridotslip-daemon/src/main.rs
+++ b/crates/peridotslip-daemon/src/main.rs
@@ -14,7 +14,7 @@
 mod settings;
 mod start;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::{Path, PathBuf}, process::ExitCode};
 
 use bpaf::Bpaf;
 
@@ -42,6 +42,11 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    Edge {
+        /// Settings file (YAML) of a router that forwards on the platform
+        #[bpaf(argument("FILE"))]
+        edge: PathBuf,
+    },
     Check {
         /// Settings file (YAML) to check, without running
         #[bpaf(argument("FILE"))]
@@ -51,7 +56,10 @@
 
 fn main() -> ExitCode {
     let mode = options().run().mode;
-    let (Mode::Run { settings: file } | Mode::Check { check: file }) = &mode;
+    let file = match &mode {
+        Mode::Edge { edge } => return run_edge(edge),
+        Mode::Run { settings: file } | Mode::Check { check: file } => file,
+    };
     let settings = match Settings::load(file) {
         Ok(settings) => settings,
         Err(err) => {
@@ -71,3 +79,23 @@
         }
     }
 }
+
+/// Runs a router that forwards on the platform.
+fn run_edge(file: &Path) -> ExitCode {
+    let settings = match peridotslip_edge::settings::Settings::load(file) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("peridotslipd: {err}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let outcome = peridotslip_platform::open(&settings.store)
+        .and_then(|platform| peridotslip_edge::run(file, settings, platform));
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("peridotslipd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -6,7 +6,7 @@
 };
 
 use peridotslip::{members::Node, prelude::*};
-use peridotslip_platform::{HttpStore, HttpVmList, Store, VmList};
+use peridotslip_store::{HttpStore, HttpVmList, Store, VmList};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
--- /dev/null
+++ b/crates/peridotslip-edge/src/context.rs
@@ -0,0 +1,213 @@
+//! What a request carries through the filters, and what all requests share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use peridotslip::forwarding::{Organisation, Placement, RetryBudget, Route, RoutingIndex};
+
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    peers::Peers,
+    ports::{CallerRequest, Platform},
+    reason::Reason,
+    settings::Settings,
+    treasury::{Held, Treasury},
+    upstream::Upstream,
+};
+
+/// Part of the fleet's allowance of repeated sends that is used, so that
+/// routers with uneven shares of the traffic stay within it together.
+const ALLOWANCE_SHARE: f64 = 0.6;
+/// Part of the permitted ratio of repeated sends that is used.
+const RATIO_SHARE: f64 = 0.7;
+
+/// What all requests share.
+pub(crate) struct Shared {
+    settings: Mutex<Arc<Settings>>,
+    pub(crate) platform: Platform,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Clock,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) treasury: Arc<Treasury>,
+    pub(crate) upstream: Upstream,
+    pub(crate) placement: Mutex<Placement>,
+    index: Mutex<Arc<RoutingIndex>>,
+    retries: Mutex<HashMap<String, RetryBudget>>,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) open_requests: AtomicUsize,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        platform: Platform,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+        peers: Arc<Peers>,
+        treasury: Arc<Treasury>,
+    ) -> Self {
+        let placement = Mutex::new(Placement::new(&settings.data_centre));
+        Self {
+            upstream: Upstream::new(metrics.clone()),
+            settings: Mutex::new(Arc::new(settings)),
+            platform,
+            metrics,
+            clock,
+            peers,
+            treasury,
+            placement,
+            index: Mutex::default(),
+            retries: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+        }
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<Settings> {
+        self.settings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn set_settings(&self, settings: Settings) {
+        *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
+    }
+
+    /// The routing table in force.
+    pub(crate) fn index(&self) -> Arc<RoutingIndex> {
+        self.index
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a table in force unless a newer one is. Returns whether it did.
+    pub(crate) fn set_index(&self, index: RoutingIndex) -> bool {
+        let mut held = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = index.version() > held.version();
+        if newer {
+            *held = Arc::new(index);
+        }
+        newer
+    }
+
+    pub(crate) fn placement(&self) -> MutexGuard<'_, Placement> {
+        self.placement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether requests can be answered.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.index().version() > 0 && !self.placement().is_empty()
+    }
+
+    /// Runs `f` on the budget of repeated sends to `service`.
+    pub(crate) fn retries<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let settings = self.settings().retries.clone();
+        #[allow(clippy::cast_precision_loss)]
+        let allowance = || settings.allowance * ALLOWANCE_SHARE / self.peers.fleet_size() as f64;
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(settings.ratio * RATIO_SHARE, allowance()));
+        f(budget)
+    }
+}
+
+/// Counts a request while it is open.
+pub(crate) struct OpenRequest(Arc<Shared>);
+
+impl OpenRequest {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request on its way through the filters.
+pub(crate) struct Cx {
+    pub(crate) _open: OpenRequest,
+    pub(crate) shared: Arc<Shared>,
+    /// When its head had been read.
+    pub(crate) arrived: Instant,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) caller: CallerRequest,
+    pub(crate) index: Arc<RoutingIndex>,
+    pub(crate) route: Option<Arc<Route>>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) service: String,
+    pub(crate) held: Option<Held>,
+}
+
+impl Cx {
+    /// The caller's name for the request, for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.caller.attempt_id.as_deref().unwrap_or("")
+    }
+
+    /// When the final answer is due at the latest.
+    pub(crate) fn due(&self) -> Instant {
+        let route_ms = self.route.as_ref().map_or(u64::MAX, |route| route.timeout_ms);
+        let caller_ms = self.caller.deadline_ms.unwrap_or(u64::MAX);
+        // A day stands for no limit; no route waits longer.
+        let limit_ms = route_ms.min(caller_ms).min(24 * 60 * 60 * 1000);
+        self.arrived + Duration::from_millis(limit_ms)
+    }
+
+    /// What is left until then.
+    pub(crate) fn left(&self) -> Duration {
+        self.due().saturating_duration_since(Instant::now())
+    }
+}
+
+/// An answer of the router's own in place of a server's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refused {
+    pub(crate) reason: Reason,
+    /// When to come back, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl Refused {
+    pub(crate) fn new(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    pub(crate) fn after(reason: Reason, retry_after_ms: u64) -> Self {
+        Self {
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+}
+
+/// The result of a filter.
+pub(crate) type Result<T> = std::result::Result<T, Refused>;
--- /dev/null
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -0,0 +1,100 @@
+//! Answers that are read whole before they are passed on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+
+use super::{Attempt, Failed, Tries, passed_on};
+use crate::{
+    body::{Body, whole},
+    context::{Cx, Refused},
+};
+
+/// Longest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// A server of a route whose work may be repeated is given this many times
+/// the route's target before another is tried.
+const TARGETS_BEFORE_RETRY: u32 = 4;
+
+/// Sends a request until a server has answered it whole.
+pub(super) async fn run(cx: &Cx) -> Result<Response<Body>, Refused> {
+    let mut tries = Tries::default();
+    let mut fallback = None;
+    while !cx.left().is_zero() && tries.allowed(cx) {
+        let limit = try_limit(cx, &tries);
+        let Some(sent) = Attempt::send(cx, &tries, None, limit).await else {
+            break;
+        };
+        let read = match sent {
+            Ok(attempt) => read(cx, attempt, cx.left().min(limit)).await,
+            Err(failed) => Err(failed),
+        };
+        match read {
+            Ok((server, response)) => {
+                let failed = Failed::MayHaveRun(response.status().to_string());
+                let again = is_transient(response.status()) && tries.failed(cx, server, &failed);
+                let response = response.map(whole);
+                if !again {
+                    return Ok(response);
+                }
+                cx.shared.metrics.retried("server-error");
+                fallback = Some(response);
+            }
+            Err((server, failed)) => {
+                if !tries.failed(cx, server, &failed) {
+                    break;
+                }
+                cx.shared.metrics.retried("server-failed");
+            }
+        }
+    }
+    fallback.ok_or_else(|| tries.refusal(cx))
+}
+
+/// Whether another server may do better.
+fn is_transient(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+fn try_limit(cx: &Cx, tries: &Tries) -> Duration {
+    let left = cx.left();
+    let Some(route) = cx.route.as_ref() else {
+        return left;
+    };
+    let last = !route.may_repeat() || tries.runs + 1 >= route.max_attempts;
+    if last || route.target_ms == 0 {
+        return left;
+    }
+    left.min(Duration::from_millis(route.target_ms) * TARGETS_BEFORE_RETRY)
+}
+
+/// Reads the answer whole.
+async fn read(
+    cx: &Cx,
+    attempt: Attempt,
+    limit: Duration,
+) -> Result<(String, Response<Bytes>), (String, Failed)> {
+    let mut attempt = attempt;
+    let server = attempt.server.clone();
+    let body = Limited::new(&mut attempt.body, MAX_ANSWER_BYTES).collect();
+    match tokio::time::timeout(limit, body).await {
+        Ok(Ok(body)) => {
+            attempt.first_byte(cx);
+            let mut response = Response::new(body.to_bytes());
+            *response.status_mut() = attempt.status;
+            *response.headers_mut() = passed_on(&attempt.headers);
+            attempt.finish();
+            Ok((server, response))
+        }
+        Ok(Err(err)) => {
+            attempt.broke();
+            Err((server, Failed::MayHaveRun(err.to_string())))
+        }
+        Err(_) => {
+            attempt.broke();
+            Err((server, Failed::Late))
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -0,0 +1,354 @@
+//! What the store tells: the routing table, the servers and the routers.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use peridotslip::{forwarding::RoutingIndex, ids::OrganisationName};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    context::Shared,
+    peers::Member,
+    ports::{Change, Item, StoreError},
+};
+
+/// Keys of routers' entries begin with this; the VM's name follows.
+const MEMBERS_PREFIX: &str = "peridotslip/members/";
+/// Longest wait of a watch, in milliseconds.
+const WATCH_MS: u64 = 10_000;
+/// Pause between two watches of the servers, whose entries change all the
+/// time, in milliseconds. A server that leaves must be known to within the
+/// platform's drain time of 2 s.
+const SERVERS_PAUSE_MS: u64 = 900;
+/// Pause between two watches of the routing table or the routers, in
+/// milliseconds, so that a burst of changes is read at once.
+const CHANGES_PAUSE_MS: u64 = 100;
+/// First pause after a failed call, in milliseconds; doubled each time.
+const FIRST_BACKOFF_MS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds.
+const MAX_BACKOFF_MS: u64 = 800;
+/// How long servers that the store has lost during an outage of its own may
+/// take to register again, in milliseconds.
+const REGISTER_AGAIN_MS: u64 = 2_500;
+/// An outage of at least this long may have cost servers their entries, in
+/// milliseconds.
+const LONG_OUTAGE_MS: u64 = 1_500;
+
+/// One prefix of the store that a router follows.
+trait Feed: Send {
+    /// The word in logs and counters.
+    fn name(&self) -> &'static str;
+    /// The prefix.
+    fn prefix(&self) -> &str;
+    /// Pause between two watches.
+    fn pause(&self) -> Duration;
+    /// Takes in one change.
+    fn change(&mut self, change: Change);
+    /// Takes in everything under the prefix, after an outage of so long.
+    fn all(&mut self, items: Vec<Item>, outage: Duration);
+    /// Called when all changes of a watch have been taken in.
+    fn settled(&mut self);
+}
+
+/// Follows a prefix until the process ends.
+async fn follow(shared: Arc<Shared>, mut feed: impl Feed) {
+    let store = shared.platform.store.clone();
+    let mut revision = None;
+    let mut backoff_ms = FIRST_BACKOFF_MS;
+    let mut lost_at: Option<Instant> = None;
+    loop {
+        let outcome = match revision {
+            None => {
+                shared.metrics.store_call("list");
+                store.list(feed.prefix()).await.map(|listing| {
+                    let outage = lost_at.map_or(Duration::ZERO, |at| at.elapsed());
+                    feed.all(listing.items, outage);
+                    listing.revision
+                })
+            }
+            Some(revision) => {
+                shared.metrics.store_call("watch");
+                let wait = Duration::from_millis(WATCH_MS);
+                let watched = store.watch(feed.prefix(), revision, wait).await;
+                watched.map(|changes| {
+                    changes
+                        .changes
+                        .into_iter()
+                        .for_each(|change| feed.change(change));
+                    changes.revision
+                })
+            }
+        };
+        match outcome {
+            Ok(next) => {
+                if let Some(at) = lost_at.take() {
+                    let after_ms = as_ms(at.elapsed());
+                    log::info!(feed = feed.name(), after_ms, revision = next; "store is followed again");
+                }
+                revision = Some(next);
+                backoff_ms = FIRST_BACKOFF_MS;
+                feed.settled();
+                tokio::time::sleep(feed.pause()).await;
+            }
+            Err(err) => {
+                shared.metrics.store_failed();
+                if err == StoreError::HistoryLost {
+                    log::warn!(feed = feed.name(); "store has dropped its history; reading all keys");
+                    revision = None;
+                    continue;
+                }
+                if lost_at.is_none() {
+                    lost_at = Some(Instant::now());
+                    log::warn!(feed = feed.name(), reason = err.to_string().as_str(); "store can't be followed");
+                }
+                tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+            }
+        }
+    }
+}
+
+fn as_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Starts following everything.
+pub(crate) fn spawn(shared: &Arc<Shared>) {
+    tokio::spawn(follow(shared.clone(), TableFeed(shared.clone())));
+    tokio::spawn(follow(
+        shared.clone(),
+        ServersFeed {
+            shared: shared.clone(),
+            missing: None,
+        },
+    ));
+    tokio::spawn(follow(shared.clone(), MembersFeed(shared.clone())));
+    tokio::spawn(register(shared.clone()));
+}
+
+struct TableFeed(Arc<Shared>);
+
+impl TableFeed {
+    fn read(&self, item: &Item) {
+        let shared = &self.0;
+        if item.key != shared.platform.dialect.table_key() {
+            return;
+        }
+        let Some(table) = shared.platform.dialect.table(&item.value) else {
+            return;
+        };
+        let index = RoutingIndex::build(table);
+        let (version, routes) = (index.version(), index.table().routes.len());
+        if shared.set_index(index) {
+            log::info!(version, routes, revision = item.revision; "routing table in force");
+            open_accounts(shared);
+        }
+    }
+}
+
+/// Opens the budgets of the table in force.
+fn open_accounts(shared: &Shared) {
+    let index = shared.index();
+    let organisations = index.table().organisations.iter().flatten();
+    let paid: Vec<(OrganisationName, u64)> = organisations
+        .filter_map(|organisation| Some((organisation.name.clone(), organisation.prepaid?)))
+        .collect();
+    shared.treasury.set_paid(&paid);
+}
+
+impl Feed for TableFeed {
+    fn name(&self) -> &'static str {
+        "table"
+    }
+
+    fn prefix(&self) -> &str {
+        self.0.platform.dialect.table_key()
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::from_millis(CHANGES_PAUSE_MS)
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Put(item) => self.read(&item),
+            // The last table stays in force.
+            Change::Removed(key) => log::error!(key = key.as_str(); "routing table was removed from the store"),
+        }
+    }
+
+    fn all(&mut self, items: Vec<Item>, _outage: Duration) {
+        items.iter().for_each(|item| self.read(item));
+    }
+
+    fn settled(&mut self) {}
+}
+
+struct ServersFeed {
+    shared: Arc<Shared>,
+    /// Servers whose entries were missing after an outage, and when they are
+    /// given up.
+    missing: Option<(HashSet<String>, Instant)>,
+}
+
+impl ServersFeed {
+    fn read(&self, item: &Item) -> Option<String> {
+        let dialect = &self.shared.platform.dialect;
+        let server = dialect.server(&item.key, &item.value)?;
+        let id = server.id.clone();
+        let (address, state) = (server.address.clone(), server.state);
+        if self.shared.placement().upsert(server) {
+            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, revision = item.revision; "server entry changed");
+        }
+        Some(id)
+    }
+
+    fn forget(&self, id: &str, reason: &str) {
+        if self.shared.placement().remove(id) {
+            log::info!(server = id, reason; "server is gone");
+        }
+    }
+}
+
+impl Feed for ServersFeed {
+    fn name(&self) -> &'static str {
+        "servers"
+    }
+
+    fn prefix(&self) -> &str {
+        self.shared.platform.dialect.servers_prefix()
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::from_millis(SERVERS_PAUSE_MS)
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Put(item) => {
+                let id = self.read(&item);
+                if let (Some(id), Some((missing, _))) = (id, &mut self.missing) {
+                    missing.remove(&id);
+                }
+            }
+            Change::Removed(key) => {
+                if let Some(id) = key.strip_prefix(self.shared.platform.dialect.servers_prefix()) {
+                    self.forget(id, "entry removed");
+                }
+            }
+        }
+    }
+
+    fn all(&mut self, items: Vec<Item>, outage: Duration) {
+        let listed: HashSet<String> = items.iter().filter_map(|item| self.read(item)).collect();
+        let placement = self.shared.placement();
+        let missing: HashSet<String> = placement
+            .ids()
+            .filter(|id| !listed.contains(*id))
+            .map(ToOwned::to_owned)
+            .collect();
+        drop(placement);
+        if missing.is_empty() {
+            return;
+        }
+        let grace = if outage > Duration::from_millis(LONG_OUTAGE_MS) {
+            Duration::from_millis(REGISTER_AGAIN_MS)
+        } else {
+            Duration::ZERO
+        };
+        self.missing = Some((missing, Instant::now() + grace));
+    }
+
+    fn settled(&mut self) {
+        if self
+            .missing
+            .as_ref()
+            .is_some_and(|(_, until)| Instant::now() >= *until)
+        {
+            for id in self.missing.take().into_iter().flat_map(|(ids, _)| ids) {
+                self.forget(&id, "entry missing");
+            }
+        }
+        let placement = self.shared.placement();
+        let known: HashSet<String> = placement.ids().map(ToOwned::to_owned).collect();
+        drop(placement);
+        self.shared.upstream.sweep(|id| known.contains(id));
+    }
+}
+
+struct MembersFeed(Arc<Shared>);
+
+impl Feed for MembersFeed {
+    fn name(&self) -> &'static str {
+        "routers"
+    }
+
+    fn prefix(&self) -> &str {
+        MEMBERS_PREFIX
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::from_millis(CHANGES_PAUSE_MS)
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Put(item) => match serde_json::from_slice::<Entry>(&item.value) {
+                Ok(entry) => self.0.peers.insert(entry.member),
+                Err(err) => {
+                    log::warn!(key = item.key.as_str(); "a router's entry can't be read: {err}");
+                }
+            },
+            Change::Removed(key) => {
+                if let Some(vm) = key.strip_prefix(MEMBERS_PREFIX) {
+                    self.0.peers.remove(vm);
+                }
+            }
+        }
+    }
+
+    fn all(&mut self, items: Vec<Item>, _outage: Duration) {
+        items
+            .into_iter()
+            .for_each(|item| self.change(Change::Put(item)));
+    }
+
+    fn settled(&mut self) {
+        // Who is home to which budget may have changed.
+        open_accounts(&self.0);
+    }
+}
+
+/// A router's entry as it is stored.
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    member: Member,
+}
+
+/// Writes this router's entry until the store has it.
+async fn register(shared: Arc<Shared>) {
+    let member = shared.peers.me().clone();
+    let key = format!("{MEMBERS_PREFIX}{}", member.vm);
+    let value = match serde_json::to_vec(&Entry { member }) {
+        Ok(value) => value,
+        Err(err) => {
+            log::error!("this router's entry can't be written: {err}");
+            return;
+        }
+    };
+    let mut backoff_ms = FIRST_BACKOFF_MS;
+    loop {
+        shared.metrics.store_call("put");
+        match shared.platform.store.put(&key, &value).await {
+            Ok(()) => return,
+            Err(err) => {
+                log::warn!(reason = err.to_string().as_str(); "this router could not be registered yet");
+                tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/filters/reserve.rs
@@ -0,0 +1,45 @@
+//! Sets aside the most tokens that a request may use.
+
+use std::time::Instant;
+
+use async_trait::async_trait;
+
+use super::Filter;
+use crate::{
+    context::{Cx, Refused, Result},
+    reason::Reason,
+    treasury::Denied,
+};
+
+pub(super) struct ReserveTokens;
+
+#[async_trait]
+impl Filter for ReserveTokens {
+    async fn apply(&self, cx: &mut Cx) -> Result<()> {
+        let Some(output) = cx.caller.max_output_tokens else {
+            return Ok(());
+        };
+        let Some((organisation, paid)) = cx
+            .organisation
+            .as_ref()
+            .and_then(|organisation| Some((organisation.name.clone(), organisation.prepaid?)))
+        else {
+            return Ok(());
+        };
+        let tokens = cx.caller.demand.prompt_tokens.saturating_add(output);
+        let started = Instant::now();
+        let treasury = &cx.shared.treasury;
+        match treasury.reserve(&organisation, paid, tokens).await {
+            Ok(held) => {
+                cx.shared.metrics.reserved(started.elapsed());
+                cx.held = Some(held);
+                Ok(())
+            }
+            Err(Denied::Exhausted) => Err(Refused::new(Reason::Exhausted)),
+            Err(Denied::Short) => {
+                let after_ms = cx.shared.settings().timing.retry_after_ms;
+                Err(Refused::after(Reason::TokensShort, after_ms))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/filters/route.rs
@@ -0,0 +1,48 @@
+//! Matches a request to its route, service and organisation.
+
+use async_trait::async_trait;
+use http::header;
+use peridotslip::forwarding::Lookup;
+
+use super::Filter;
+use crate::{
+    context::{Cx, Refused, Result},
+    reason::Reason,
+};
+
+pub(super) struct MatchRoute;
+
+fn host(cx: &Cx) -> Option<&str> {
+    match cx.uri.authority() {
+        Some(authority) => Some(authority.as_str()),
+        None => cx.headers.get(header::HOST)?.to_str().ok(),
+    }
+}
+
+#[async_trait]
+impl Filter for MatchRoute {
+    async fn apply(&self, cx: &mut Cx) -> Result<()> {
+        if cx.index.version() == 0 {
+            let after_ms = cx.shared.settings().timing.retry_after_ms;
+            return Err(Refused::after(Reason::NotConfigured, after_ms));
+        }
+        let host = host(cx).unwrap_or("");
+        match cx
+            .index
+            .lookup(host, cx.uri.path(), cx.caller.key.as_deref())
+        {
+            Lookup::NoRoute => Err(Refused::new(Reason::NoRoute)),
+            Lookup::UnknownKey => Err(Refused::new(Reason::UnknownKey)),
+            Lookup::Found {
+                route,
+                organisation,
+            } => {
+                let service = route.target(rand::random()).unwrap_or("").to_owned();
+                cx.route = Some(route);
+                cx.organisation = organisation;
+                cx.service = service;
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/front.rs
@@ -0,0 +1,219 @@
+//! The listeners for callers, readiness checks and metrics.
+
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use crate::{
+    body::{Body, whole},
+    context::{Cx, OpenRequest, Refused, Shared},
+    dispatch,
+    filters::Chain,
+    reason::Reason,
+};
+
+/// Pause after a connection could not be accepted, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 10;
+/// Smallest buffer of a connection that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Longest wait for the body of a caller that names no deadline, in
+/// milliseconds.
+const BODY_TIMEOUT_MS: u64 = 30_000;
+
+/// Serves callers until `stop` turns true; then lets open requests end.
+pub(crate) async fn serve_callers(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    chain: Arc<Chain>,
+    mut stop: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (shared, chain) = (shared.clone(), chain.clone());
+                tokio::spawn(connection(stream, shared, chain, stop.clone()));
+            }
+            Err(err) => {
+                log::warn!("a caller's connection could not be accepted: {err}");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+/// Waits until connections are to be closed.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        log::debug!("the process ends");
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    chain: Arc<Chain>,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("a caller's connection can't be set up: {err}");
+    }
+    let limits = shared.index().table().limits;
+    let service = service_fn(move |request| answer(shared.clone(), chain.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("a caller's connection ended: {err}");
+    }
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    chain: Arc<Chain>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let caller = shared.platform.dialect.caller_request(&parts.headers);
+    let mut cx = Cx {
+        index: shared.index(),
+        _open: OpenRequest::new(&shared),
+        shared: shared.clone(),
+        arrived,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: Bytes::new(),
+        caller,
+        route: None,
+        organisation: None,
+        service: String::new(),
+        held: None,
+    };
+    let id = cx.id().to_owned();
+    let version = cx.index.version();
+    let outcome = match read_body(&mut cx, body).await {
+        Ok(()) => match chain.apply(&mut cx).await {
+            Ok(()) => dispatch::run(cx).await,
+            Err(refused) => Err(refused),
+        },
+        Err(refused) => Err(refused),
+    };
+    let ms = arrived.elapsed().as_millis();
+    let mut response = match outcome {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            log::info!(id = id.as_str(), status, version, ms; "request answered");
+            response
+        }
+        Err(refused) => {
+            let reason = refused.reason.as_str();
+            let status = refused.reason.status().as_u16();
+            log::info!(id = id.as_str(), status, reason, version, ms; "request refused");
+            shared.metrics.refused(refused.reason);
+            refuse(refused)
+        }
+    };
+    shared.metrics.answered(response.status());
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Reads the body whole, and refuses a request whose framing is in doubt.
+async fn read_body(cx: &mut Cx, body: Incoming) -> Result<(), Refused> {
+    let framings = cx.headers.get_all(header::CONTENT_LENGTH).iter().count()
+        + cx.headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    if framings > 1 || cx.caller.attempt_id.is_none() {
+        return Err(Refused::new(Reason::BadRequest));
+    }
+    let limit = cx.index.table().limits.max_body_bytes;
+    let time = Duration::from_millis(cx.caller.deadline_ms.unwrap_or(BODY_TIMEOUT_MS));
+    match tokio::time::timeout(time, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => {
+            cx.body = body.to_bytes();
+            Ok(())
+        }
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refused::new(Reason::BodyTooLong)),
+        Ok(Err(_)) => Err(Refused::new(Reason::BadRequest)),
+        Err(_) => Err(Refused::new(Reason::NotStarted)),
+    }
+}
+
+fn refuse(refused: Refused) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::from_static(refused.reason.as_str().as_bytes())));
+    *response.status_mut() = refused.reason.status();
+    if let Some(after_ms) = refused.retry_after_ms {
+        let after = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
+        if let Ok(after) = HeaderValue::from_str(&after) {
+            response.headers_mut().insert(header::RETRY_AFTER, after);
+        }
+    }
+    response
+}
+
+/// Answers small requests of the platform and the operators: `respond` gives
+/// the answer for a path.
+pub(crate) async fn serve_checks(
+    listener: TcpListener,
+    respond: impl Fn(&str) -> Response<Bytes> + Clone + Send + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let respond = respond.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = respond(request.uri().path()).map(Full::new);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(err) = connection.await {
+                log::debug!("a check's connection ended: {err}");
+            }
+        });
+    }
+}
+
+/// Answers readiness checks.
+pub(crate) fn readiness(shared: &Shared, path: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    if path != shared.platform.dialect.ready_path() {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    } else if !shared.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -0,0 +1,31 @@
+/*!
+A router that forwards requests unchanged to the backend servers of services,
+and spends prepaid budgets for them.
+
+The crate holds the filter chain for requests, the feeds that keep the
+router's state, and the traits that a platform's adapter implements
+([`ports`]). Decisions without I/O are in the `peridotslip` crate.
+
+[`run`] needs [`Settings`](settings::Settings) and a
+[`Platform`](ports::Platform), and returns after a graceful shutdown.
+*/
+
+mod body;
+mod clock;
+mod context;
+mod dispatch;
+mod feeds;
+mod filters;
+mod front;
+mod logging;
+mod metrics;
+mod peers;
+pub mod ports;
+mod reason;
+mod rpc;
+mod run;
+pub mod settings;
+mod treasury;
+mod upstream;
+
+pub use self::run::run;
--- /dev/null
+++ b/crates/peridotslip-edge/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Metrics, by OpenTelemetry, scraped in the Prometheus text format.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{Response, StatusCode};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::{logging, reason::Reason};
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 13] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+
+/// All instruments of the process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_failures: Counter<u64>,
+    connections: Counter<u64>,
+    first_byte: Histogram<f64>,
+    reserve_wait: Histogram<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn open() -> Result<Arc<Self>, Box<dyn std::error::Error + Send + Sync>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .with_namespace("peridotslip")
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("peridotslip-edge");
+        let latency = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build()
+        };
+        meter
+            .u64_observable_gauge("log_lines_dropped")
+            .with_callback(|out| out.observe(logging::dropped(), &[]))
+            .build();
+        Ok(Arc::new(Self {
+            answers: meter.u64_counter("answers").build(),
+            refusals: meter.u64_counter("refusals").build(),
+            retries: meter.u64_counter("retries").build(),
+            store_calls: meter.u64_counter("store_calls").build(),
+            store_failures: meter.u64_counter("store_failures").build(),
+            connections: meter.u64_counter("server_connections").build(),
+            first_byte: latency("first_byte_seconds"),
+            reserve_wait: latency("reserve_wait_seconds"),
+            registry,
+            _provider: provider,
+        }))
+    }
+
+    pub(crate) fn answered(&self, status: StatusCode) {
+        let status = i64::from(status.as_u16());
+        self.answers.add(1, &[KeyValue::new("status", status)]);
+    }
+
+    pub(crate) fn refused(&self, reason: Reason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    pub(crate) fn retried(&self, reason: &'static str) {
+        self.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn store_call(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    pub(crate) fn store_failed(&self) {
+        self.store_failures.add(1, &[]);
+    }
+
+    pub(crate) fn connected(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    pub(crate) fn first_byte(&self, elapsed: Duration) {
+        self.first_byte.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn reserved(&self, elapsed: Duration) {
+        self.reserve_wait.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Everything in the Prometheus text format.
+    pub(crate) fn scrape(&self) -> Response<bytes::Bytes> {
+        let mut buf = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            log::error!("metrics can't be written: {err}");
+        }
+        Response::new(buf.into())
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -0,0 +1,160 @@
+//! The other routers: who they are and which of them answer.
+//!
+//! Routers find each other by entries in the store. Whether one answers is
+//! learned from the exchanges themselves; one that fails is passed over until
+//! it answers a probe. Nothing here has to be agreed on: two routers that
+//! disagree only divide the work otherwise.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use peridotslip::{ids::Incarnation, members::rank};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::rpc::{self, Client};
+
+/// Time between two probes of a router that does not answer, in milliseconds.
+const PROBE_PAUSE_MS: u64 = 500;
+/// Longest wait for the answer to a probe, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 250;
+
+/// A router's entry in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// The VM's name, which is also the entry's key.
+    pub(crate) vm: String,
+    /// Where it answers peers.
+    pub(crate) address: String,
+    /// Its run.
+    pub(crate) incarnation: Incarnation,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    answers: bool,
+}
+
+/// The other routers of the fleet.
+pub(crate) struct Peers {
+    me: Member,
+    peers: Mutex<BTreeMap<String, Peer>>,
+    client: Client,
+}
+
+impl Peers {
+    pub(crate) fn new(me: Member) -> Arc<Self> {
+        Arc::new(Self {
+            me,
+            peers: Mutex::default(),
+            client: Client::default(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This router's entry.
+    pub(crate) fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Takes in an entry.
+    pub(crate) fn insert(&self, member: Member) {
+        if member.vm == self.me.vm {
+            return;
+        }
+        let mut peers = self.lock();
+        if peers.get(&member.vm).map(|peer| &peer.member) == Some(&member) {
+            return;
+        }
+        log::info!(peer = member.vm.as_str(), address = member.address.as_str(); "router joined");
+        let answers = true;
+        peers.insert(member.vm.clone(), Peer { member, answers });
+    }
+
+    /// Forgets an entry.
+    pub(crate) fn remove(&self, vm: &str) {
+        if self.lock().remove(vm).is_some() {
+            log::info!(peer = vm; "router left");
+        }
+    }
+
+    /// How many routers the fleet has, those that don't answer included.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.lock().len() + 1
+    }
+
+    /// The routers that answer, this one included if `with_me`, in the order
+    /// in which they should take on `duty`.
+    pub(crate) fn ranked(&self, duty: &str, with_me: bool) -> Vec<Member> {
+        let mut ranked: Vec<Member> = self
+            .lock()
+            .values()
+            .filter(|peer| peer.answers)
+            .map(|peer| peer.member.clone())
+            .collect();
+        if with_me {
+            ranked.push(self.me.clone());
+        }
+        ranked.sort_by_key(|member| std::cmp::Reverse(rank(duty, &member.vm)));
+        ranked
+    }
+
+    /// Asks a router.
+    pub(crate) async fn ask<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        member: &Member,
+        question: &Q,
+        timeout: Duration,
+    ) -> rpc::Result<A> {
+        let answer = self.client.ask(&member.address, question, timeout).await;
+        if let Err(err) = &answer {
+            self.set_answers(member, false, &err.to_string());
+        }
+        answer
+    }
+
+    fn set_answers(&self, member: &Member, answers: bool, reason: &str) {
+        let mut peers = self.lock();
+        let Some(peer) = peers.get_mut(&member.vm) else {
+            return;
+        };
+        if peer.member != *member || peer.answers == answers {
+            return;
+        }
+        peer.answers = answers;
+        let peer = member.vm.as_str();
+        if answers {
+            log::info!(peer; "router answers again");
+        } else {
+            log::warn!(peer, reason; "router does not answer");
+        }
+    }
+
+    fn silent(&self) -> Vec<Member> {
+        let peers = self.lock();
+        let silent = peers.values().filter(|peer| !peer.answers);
+        silent.map(|peer| peer.member.clone()).collect()
+    }
+
+    /// Probes the routers that don't answer, with `probe`, until the process
+    /// ends.
+    pub(crate) async fn probe_silent<Q: Serialize>(self: Arc<Self>, probe: Q) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(PROBE_PAUSE_MS)).await;
+            for member in self.silent() {
+                let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+                let answer: rpc::Result<bool> =
+                    self.client.ask(&member.address, &probe, timeout).await;
+                if answer == Ok(true) {
+                    self.set_answers(&member, true, "");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/run.rs
@@ -0,0 +1,209 @@
+//! Starting a router and stopping it gracefully.
+
+use std::{
+    path::{Path, PathBuf},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use peridotslip::ids::Incarnation;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+};
+use uuid::Uuid;
+
+use crate::{
+    clock::Clock,
+    context::Shared,
+    feeds,
+    filters::Chain,
+    front, logging,
+    metrics::Metrics,
+    peers::{Member, Peers},
+    ports::Platform,
+    rpc,
+    settings::Settings,
+    treasury::{Ask, Treasury, Verdict},
+};
+
+/// Why the router could not run.
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// How long a stopping router still takes connections, in milliseconds: the
+/// platform's balancer needs two readiness checks a second apart to notice.
+const ANNOUNCE_MS: u64 = 2_300;
+/// What is kept of the grace time for giving grants back, in milliseconds.
+const CLOSE_MS: u64 = 900;
+/// Time between two looks at open requests, in milliseconds.
+const DRAIN_POLL_MS: u64 = 20;
+/// Time between two looks at the settings file, in milliseconds.
+const SETTINGS_POLL_MS: u64 = 1_000;
+
+/// Runs a router until SIGTERM, and stops it gracefully.
+///
+/// # Errors
+///
+/// An error if an address can't be listened on.
+pub fn run(file: &Path, settings: Settings, platform: Platform) -> Result<(), Error> {
+    logging::start(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run_async(file.to_owned(), settings, platform))
+}
+
+async fn run_async(file: PathBuf, settings: Settings, platform: Platform) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let metrics = Metrics::open()?;
+    let clock = Clock::start();
+    let peers = Peers::new(Member {
+        vm: settings.vm.clone(),
+        address: settings.listen.peers.clone(),
+        incarnation: Incarnation::from(Uuid::now_v7().as_u128()),
+    });
+    let treasury = Treasury::spawn(
+        platform.store.clone(),
+        peers.clone(),
+        metrics.clone(),
+        clock,
+        settings.money.clone(),
+    );
+    let listen = settings.listen.clone();
+    let callers = TcpListener::bind(&listen.callers).await?;
+    let ready = TcpListener::bind(&listen.ready).await?;
+    let peer_listener = TcpListener::bind(&listen.peers).await?;
+    let shared = Arc::new(Shared::new(
+        settings,
+        platform,
+        metrics,
+        clock,
+        peers.clone(),
+        treasury,
+    ));
+    if let Some(address) = &listen.metrics {
+        serve_metrics(address, &shared).await?;
+    }
+    log::info!(
+        vm = peers.me().vm.as_str(),
+        incarnation = peers.me().incarnation.to_string().as_str();
+        "router started"
+    );
+    feeds::spawn(&shared);
+    tokio::spawn(rpc::serve(peer_listener, {
+        let shared = shared.clone();
+        move |ask| answer_peer(shared.clone(), ask)
+    }));
+    tokio::spawn(peers.probe_silent(Ask::Probe));
+    tokio::spawn(front::serve_checks(ready, {
+        let shared = shared.clone();
+        move |path| front::readiness(&shared, path)
+    }));
+    tokio::spawn(follow_settings(file, shared.clone(), hangup));
+    let (stop_tx, stop_rx) = watch::channel(false);
+    tokio::spawn(front::serve_callers(
+        callers,
+        shared.clone(),
+        Chain::new(),
+        stop_rx,
+    ));
+    term.recv().await;
+    stop(&shared, &stop_tx).await;
+    Ok(())
+}
+
+async fn serve_metrics(address: &str, shared: &Arc<Shared>) -> Result<(), Error> {
+    let listener = TcpListener::bind(address).await?;
+    let metrics = shared.metrics.clone();
+    tokio::spawn(front::serve_checks(listener, move |path| {
+        if path == "/metrics" {
+            return metrics.scrape();
+        }
+        let mut response = Response::new(Bytes::new());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        response
+    }));
+    Ok(())
+}
+
+/// An answer to a peer.
+#[derive(serde::Serialize)]
+#[serde(untagged)]
+enum Answer {
+    Verdict(Verdict),
+    Done(bool),
+}
+
+async fn answer_peer(shared: Arc<Shared>, ask: Ask) -> Answer {
+    match ask {
+        Ask::Reserve {
+            organisation,
+            paid,
+            tokens,
+            ticket,
+        } => {
+            let treasury = &shared.treasury;
+            let verdict = treasury.reserve_for(organisation, paid, tokens, ticket);
+            Answer::Verdict(verdict.await)
+        }
+        Ask::Settle(settlements) => {
+            shared.treasury.settle_for(&settlements);
+            Answer::Done(true)
+        }
+        Ask::Probe => Answer::Done(!shared.is_stopping()),
+    }
+}
+
+/// Takes in changed settings, with or without a signal. Settings that can't
+/// be used leave the old ones in force.
+async fn follow_settings(file: PathBuf, shared: Arc<Shared>, mut hangup: Signal) {
+    let mut seen = std::fs::read(&file).unwrap_or_default();
+    loop {
+        let pause = Duration::from_millis(SETTINGS_POLL_MS);
+        let signalled = tokio::time::timeout(pause, hangup.recv()).await.is_ok();
+        let now = match std::fs::read(&file) {
+            Ok(now) => now,
+            Err(err) => {
+                log::warn!("the settings can't be read again: {err}");
+                continue;
+            }
+        };
+        if now == seen && !signalled {
+            continue;
+        }
+        seen = now;
+        match Settings::load(&file) {
+            Ok(settings) => {
+                let restart = settings.listen != shared.settings().listen;
+                log::info!(signalled, restart_needed = restart; "settings reloaded");
+                shared.set_settings(settings);
+            }
+            Err(err) => log::error!("settings were not reloaded: {err}"),
+        }
+    }
+}
+
+async fn stop(shared: &Arc<Shared>, stop_tx: &watch::Sender<bool>) {
+    let grace = Duration::from_millis(shared.settings().timing.grace_ms);
+    let until = tokio::time::Instant::now() + grace;
+    let open = shared.open_requests.load(Ordering::Relaxed);
+    log::info!(open; "stopping: readiness is off");
+    shared.stopping.store(true, Ordering::Relaxed);
+    shared.treasury.leave();
+    tokio::time::sleep(Duration::from_millis(ANNOUNCE_MS)).await;
+    stop_tx.send_replace(true);
+    let drained_until = until - Duration::from_millis(CLOSE_MS * 2);
+    while shared.open_requests.load(Ordering::Relaxed) > 0 || shared.treasury.has_tickets() {
+        if tokio::time::Instant::now() >= drained_until {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+    }
+    shared.treasury.close(Duration::from_millis(CLOSE_MS)).await;
+    let open = shared.open_requests.load(Ordering::Relaxed);
+    log::info!(open; "stopped");
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -0,0 +1,188 @@
+//! The settings of a router that forwards, a YAML file.
+
+use std::path::{Path, PathBuf};
+
+use quick_error::quick_error;
+use serde::Deserialize;
+
+quick_error! {
+    /// Why settings can't be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The file can't be read.
+        Read(file: PathBuf, err: std::io::Error) {
+            display("{}: {err}; name a readable file", file.display())
+        }
+        /// The file is not YAML, or a field is missing or of the wrong type.
+        Parse(file: PathBuf, err: String) {
+            display("{}: {err}; see docs/OPERATORS.md for the fields", file.display())
+        }
+        /// A field's value can't be used.
+        Field(file: PathBuf, field: &'static str, remedy: &'static str) {
+            display("{}: field `{field}`: {remedy}", file.display())
+        }
+    }
+}
+
+/// The result of reading settings.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Everything that a forwarding router is told at start.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This VM's name, unique in the fleet.
+    pub vm: String,
+    /// This VM's data centre.
+    pub data_centre: String,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// The platform's store, `IP:port`.
+    pub store: String,
+    /// Time limits.
+    #[serde(default)]
+    pub timing: Timing,
+    /// The fleet's bound on repeated sends.
+    #[serde(default)]
+    pub retries: Retries,
+    /// Spending.
+    #[serde(default)]
+    pub money: Money,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Addresses to listen on, each `IP:port`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers.
+    pub callers: String,
+    /// Readiness checks.
+    pub ready: String,
+    /// Other routers.
+    pub peers: String,
+    /// Metrics; none if left out.
+    #[serde(default)]
+    pub metrics: Option<String>,
+}
+
+/// Time limits, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timing {
+    /// From SIGTERM until the process is killed.
+    pub grace_ms: u64,
+    /// When to come back after a refusal for lack of servers or room.
+    pub retry_after_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            grace_ms: 8_000,
+            retry_after_ms: 500,
+        }
+    }
+}
+
+/// The fleet's bound on repeated sends to one service.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Retries {
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends in each window that the whole fleet may add.
+    pub allowance: f64,
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            allowance: 10.0,
+        }
+    }
+}
+
+/// Spending of prepaid budgets.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Money {
+    /// How long grants must last while the store is away, in milliseconds.
+    pub horizon_ms: u64,
+    /// Time between two reports to the store, in milliseconds.
+    pub settle_ms: u64,
+    /// Longest wait of a request for tokens, in milliseconds.
+    pub wait_ms: u64,
+}
+
+impl Default for Money {
+    fn default() -> Self {
+        Self {
+            horizon_ms: 12_000,
+            settle_ms: 2_000,
+            wait_ms: 250,
+        }
+    }
+}
+
+/// Logs, as JSON lines on standard output.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// The least severe level that is written.
+    pub level: log::LevelFilter,
+    /// Lines that wait to be written; more are dropped and counted.
+    pub queue_lines: usize,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+            queue_lines: 512,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] that names the file and the remedy.
+    pub fn load(file: &Path) -> Result<Self> {
+        let text =
+            std::fs::read_to_string(file).map_err(|err| Error::Read(file.to_owned(), err))?;
+        let settings: Self = serde_saphyr::from_str(&text)
+            .map_err(|err| Error::Parse(file.to_owned(), err.to_string()))?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &Path) -> Result<()> {
+        let address = |text: &str| text.parse::<std::net::SocketAddr>().is_ok();
+        let field = |field, remedy| Err(Error::Field(file.to_owned(), field, remedy));
+        if self.vm.is_empty() || self.vm.len() > 100 {
+            return field("vm", "give a name of 1 to 100 characters");
+        }
+        if !address(&self.store) {
+            return field("store", "give an address as IP:port");
+        }
+        let listen = &self.listen;
+        let metrics = listen.metrics.as_deref().unwrap_or("0.0.0.0:1");
+        if ![&listen.callers, &listen.ready, &listen.peers]
+            .iter()
+            .all(|text| address(text))
+            || !address(metrics)
+        {
+            return field("listen", "give each address as IP:port");
+        }
+        if !(0.0..=1.0).contains(&self.retries.ratio) || self.retries.allowance < 0.0 {
+            return field("retries", "ratio lies in 0 to 1 and allowance is not negative");
+        }
+        Ok(())
+    }
+}
--- a/crates/peridotslip-standins/src/load/audit.rs
+++ b/crates/peridotslip-standins/src/load/audit.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use peridotslip::ledger::ShardRecord;
-use peridotslip_platform::{HttpStore, Store};
+use peridotslip_store::{HttpStore, Store};
 use serde_json::json;
 
 use crate::serve::Result;
--- a/crates/peridotslip-standins/src/store.rs
+++ b/crates/peridotslip-standins/src/store.rs
@@ -19,7 +19,7 @@
     routing::{get, put},
 };
 use bpaf::Bpaf;
-use peridotslip_platform::{Error, Faults, MemoryStore, Store, Versioned, WriteFault};
+use peridotslip_store::{Error, Faults, MemoryStore, Store, Versioned, WriteFault};
 use serde::Deserialize;
 
 use crate::serve::{Result, serve};
--- a/crates/peridotslip-standins/src/vms.rs
+++ b/crates/peridotslip-standins/src/vms.rs
@@ -10,7 +10,7 @@
 
 use axum::{Json, Router, extract::State, routing::get};
 use bpaf::Bpaf;
-use peridotslip_platform::Vm;
+use peridotslip_store::Vm;
 
 use crate::serve::{Result, serve};
 
--- a/crates/peridotslip-platform/src/lib.rs
+++ b/crates/peridotslip-store/src/lib.rs
@@ -10,7 +10,7 @@
 
 ```
 use peridotslip::prelude::*;
-use peridotslip_platform::{MemoryStore, TableStore};
+use peridotslip_store::{MemoryStore, TableStore};
 
 # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
 let store = MemoryStore::new();
--- a/crates/peridotslip-platform/tests/tables.rs
+++ b/crates/peridotslip-store/tests/tables.rs
@@ -6,7 +6,7 @@
     prelude::*,
     tables::{Budget, Error as RowError},
 };
-use peridotslip_platform::{Error, Faults, MemoryStore, Store, TableError, TableStore, WriteFault};
+use peridotslip_store::{Error, Faults, MemoryStore, Store, TableError, TableStore, WriteFault};
 
 fn tables(revision: u64, paid_tokens: u64) -> Tables {
     Tables {
--- /dev/null
+++ b/crates/peridotslip/src/forwarding.rs
@@ -0,0 +1,19 @@
+//! Forwarding requests unchanged to the backend servers of a service.
+//!
+//! The operators' routing table names routes by host and path prefix, the
+//! services behind them, and the organisations whose keys may use them. The
+//! parts here decide without I/O: [`RoutingIndex`] matches a request,
+//! [`Placement`] picks a server, [`RetryBudget`] bounds repeated sends, and
+//! [`Gate`](crate::admission::Gate) orders what waits.
+
+mod index;
+mod placement;
+mod retry_budget;
+mod table;
+
+pub use self::{
+    index::{Lookup, RoutingIndex},
+    placement::{Demand, End, LoadReport, Placement, Server, ServerId, ServerState},
+    retry_budget::RetryBudget,
+    table::{CallerLimits, EngineTraits, Organisation, Repeat, Route, RoutingTable, Service},
+};
--- /dev/null
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -0,0 +1,449 @@
+//! Choosing the backend server for a request.
+//!
+//! A model engine reads a prompt faster if it has read the beginning before,
+//! and a busy engine makes every request slower. The choice weighs both as
+//! predicted milliseconds: prompt tokens that the engine must read, and
+//! requests that it works on. Load reports lag and count other routers'
+//! requests, so a router corrects them by what it has sent since.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::members::rank;
+
+/// A server's name, new at each registration.
+pub type ServerId = String;
+
+/// Prompt tokens that an engine reads in a millisecond, for weighing cached
+/// tokens against load.
+const PREFILL_TOKENS_PER_MS: f64 = 32.4;
+/// Predicted delay by each request that an engine works on, in milliseconds.
+const ENGINE_REQUEST_MS: f64 = 9.0;
+/// Predicted delay by each request beyond a plain server's slots, in
+/// milliseconds.
+const SERVICE_REQUEST_MS: f64 = 10.0;
+/// Predicted extra delay of a server in another data centre, in milliseconds.
+const DISTANCE_MS: f64 = 2.5;
+/// A load report counts for this long, in milliseconds.
+const REPORT_AGE_MS: u64 = 1_500;
+/// Failures in a row after which a server is ejected.
+const FAILURES_TO_EJECT: u32 = 2;
+/// First ejection, in milliseconds; each further one is twice as long.
+const FIRST_EJECTION_MS: u64 = 1_000;
+/// Longest ejection, in milliseconds.
+const MAX_EJECTION_MS: u64 = 8_000;
+/// How long a server that refused for lack of room is avoided, in
+/// milliseconds.
+const FULL_PAUSE_MS: u64 = 60;
+/// Share of a new sample in the smoothed time to first byte.
+const SMOOTHING: f64 = 0.2;
+/// A server this many times slower than the median of its service is avoided.
+const SLOW_FACTOR: f64 = 2.5;
+/// Prompt parts that a router remembers for each engine.
+const MAX_PARTS: usize = 512;
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerState {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+}
+
+/// A server's entry in the directory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Server {
+    /// Its name.
+    pub id: ServerId,
+    /// The service that it belongs to.
+    pub service: String,
+    /// `IP:port`.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// When it started, in milliseconds since the epoch; 0 if it doesn't say.
+    pub started_ms: u64,
+}
+
+/// What a server says of its load with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What a request needs, as far as the choice depends on it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Prompt parts in order: identity and tokens.
+    pub parts: Vec<(u64, u64)>,
+    /// Prompt tokens in all.
+    pub prompt_tokens: u64,
+}
+
+impl Demand {
+    /// The part that later requests of the same session begin with: the last
+    /// that is not the request's own.
+    #[must_use]
+    pub fn affinity(&self) -> Option<u64> {
+        let shared = self.parts.len().saturating_sub(2);
+        self.parts.get(shared).map(|(id, _)| *id)
+    }
+
+    fn work(&self, cached: u64) -> u64 {
+        self.prompt_tokens.saturating_sub(cached)
+    }
+}
+
+/// How a send ended, as far as it tells of the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The server answered.
+    Answered,
+    /// The server had no room.
+    Full,
+    /// The server is another one than the directory says, or has gone.
+    Gone,
+    /// The server could not be reached, broke off or was silent.
+    Failed,
+    /// The caller or this router gave up.
+    Neutral,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Parts {
+    last_used: HashMap<u64, u64>,
+}
+
+impl Parts {
+    fn insert(&mut self, id: u64, now_ms: u64) {
+        self.last_used.insert(id, now_ms);
+        if self.last_used.len() > MAX_PARTS {
+            let mut times: Vec<u64> = self.last_used.values().copied().collect();
+            times.sort_unstable();
+            let cut = times[times.len() / 4];
+            self.last_used.retain(|_, at| *at > cut);
+        }
+    }
+
+    /// Tokens at the beginning of a prompt that are thought to be cached.
+    fn cached(&self, demand: &Demand) -> u64 {
+        demand
+            .parts
+            .iter()
+            .take_while(|(id, _)| self.last_used.contains_key(id))
+            .map(|(_, tokens)| tokens)
+            .sum()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    server: Server,
+    in_flight: u32,
+    in_flight_at_report: u32,
+    report: Option<(LoadReport, u64)>,
+    /// Prompt tokens sent and not yet known to be read.
+    reading: u64,
+    parts: Parts,
+    failures: u32,
+    ejections: u32,
+    avoid_until_ms: u64,
+    leaving: bool,
+    first_byte_ms: Option<f64>,
+}
+
+impl Known {
+    fn new(server: Server) -> Self {
+        Self {
+            server,
+            in_flight: 0,
+            in_flight_at_report: 0,
+            report: None,
+            reading: 0,
+            parts: Parts::default(),
+            failures: 0,
+            ejections: 0,
+            avoid_until_ms: 0,
+            leaving: false,
+            first_byte_ms: None,
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.server.state == ServerState::Ready && !self.leaving
+    }
+
+    /// After an ejection, one request at a time tries the server.
+    fn available(&self, now_ms: u64) -> bool {
+        let on_trial = self.ejections > 0 && self.in_flight > 0;
+        self.takes_work() && now_ms >= self.avoid_until_ms && !on_trial
+    }
+
+    fn load(&self, now_ms: u64) -> u32 {
+        match self.report {
+            Some((report, at_ms)) if now_ms < at_ms + REPORT_AGE_MS => {
+                let others = (report.running + report.waiting)
+                    .saturating_sub(self.in_flight_at_report);
+                others + self.in_flight
+            }
+            _ => self.in_flight,
+        }
+    }
+}
+
+/// The servers of all services, and what this router knows of each.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    data_centre: String,
+    servers: BTreeMap<ServerId, Known>,
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(value: u64) -> f64 {
+    value as f64
+}
+
+impl Placement {
+    /// Knows no server yet; prefers those of `data_centre`.
+    #[must_use]
+    pub fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a server's entry. A server that has started anew is unknown.
+    /// Returns whether something that matters to requests changed.
+    pub fn upsert(&mut self, server: Server) -> bool {
+        match self.servers.get_mut(&server.id) {
+            Some(known)
+                if known.server.started_ms == server.started_ms
+                    && known.server.address == server.address =>
+            {
+                let changed = known.server != server;
+                known.server = server;
+                changed
+            }
+            _ => {
+                self.servers.insert(server.id.clone(), Known::new(server));
+                true
+            }
+        }
+    }
+
+    /// Forgets a server.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.servers.remove(id).is_some()
+    }
+
+    /// The names of all known servers.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.servers.keys().map(String::as_str)
+    }
+
+    /// A server's entry.
+    #[must_use]
+    pub fn server(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id).map(|known| &known.server)
+    }
+
+    /// Whether a server is known and takes new work.
+    #[must_use]
+    pub fn takes_work(&self, id: &str) -> bool {
+        self.servers.get(id).is_some_and(Known::takes_work)
+    }
+
+    /// How many servers are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Picks a server of `service` that is not in `tried` and counts the
+    /// request as in flight there. If every other one is avoided, one that is
+    /// avoided for failures is better than none.
+    pub fn choose(
+        &mut self,
+        service: &str,
+        demand: &Demand,
+        tried: &[ServerId],
+        now_ms: u64,
+    ) -> Option<Server> {
+        let id = self
+            .best(service, demand, tried, now_ms, Known::available)
+            .or_else(|| self.best(service, demand, tried, now_ms, |known, _| known.takes_work()))?;
+        let known = self.servers.get_mut(&id)?;
+        known.in_flight += 1;
+        known.reading += demand.work(known.parts.cached(demand));
+        for (part, _) in &demand.parts {
+            known.parts.insert(*part, now_ms);
+        }
+        Some(known.server.clone())
+    }
+
+    fn best(
+        &self,
+        service: &str,
+        demand: &Demand,
+        tried: &[ServerId],
+        now_ms: u64,
+        usable: impl Fn(&Known, u64) -> bool,
+    ) -> Option<ServerId> {
+        let candidates: Vec<&Known> = self
+            .servers
+            .values()
+            .filter(|known| known.server.service == service)
+            .filter(|known| !tried.contains(&known.server.id) && usable(known, now_ms))
+            .collect();
+        let home = demand.affinity().and_then(|part| {
+            let key = format!("{part:016x}");
+            candidates
+                .iter()
+                .max_by_key(|known| rank(&key, &known.server.id))
+                .map(|known| known.server.id.clone())
+        });
+        let median = median_first_byte(&candidates);
+        let cost = |known: &Known| {
+            let is_home = home.as_ref() == Some(&known.server.id);
+            self.cost_ms(known, demand, is_home, median, now_ms)
+        };
+        candidates
+            .iter()
+            .map(|known| (cost(known), known))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, known)| known.server.id.clone())
+    }
+
+    fn cost_ms(
+        &self,
+        known: &Known,
+        demand: &Demand,
+        is_home: bool,
+        median_ms: Option<f64>,
+        now_ms: u64,
+    ) -> f64 {
+        let load = known.load(now_ms);
+        let distance = if known.server.data_centre == self.data_centre {
+            0.0
+        } else {
+            DISTANCE_MS
+        };
+        if demand.prompt_tokens == 0 {
+            let beyond = load.saturating_sub(known.server.slots / 2);
+            let slow = known.first_byte_ms.unwrap_or(0.0);
+            return distance
+                + f64::from(load)
+                + f64::from(beyond) * SERVICE_REQUEST_MS
+                + slow_penalty(slow, median_ms);
+        }
+        let shared: u64 = demand
+            .parts
+            .iter()
+            .take(demand.parts.len().saturating_sub(1))
+            .map(|(_, tokens)| tokens)
+            .sum();
+        let cached = known.parts.cached(demand);
+        let cached = if is_home { cached.max(shared) } else { cached };
+        let reading = known.reading + demand.work(cached);
+        let slow = known.first_byte_ms.unwrap_or(0.0);
+        as_f64(reading) / PREFILL_TOKENS_PER_MS
+            + f64::from(load) * ENGINE_REQUEST_MS
+            + distance
+            + slow_penalty(slow, median_ms)
+    }
+
+    /// Notes the first byte of an answer `elapsed_ms` after the send.
+    pub fn first_byte(&mut self, id: &str, demand: &Demand, elapsed_ms: u64) {
+        let Some(known) = self.servers.get_mut(id) else {
+            return;
+        };
+        known.reading = known.reading.saturating_sub(demand.prompt_tokens / 2);
+        let elapsed = as_f64(elapsed_ms);
+        let smoothed = known.first_byte_ms.get_or_insert(elapsed);
+        *smoothed += SMOOTHING * (elapsed - *smoothed);
+    }
+
+    /// Takes in a server's report on its load.
+    pub fn report(&mut self, id: &str, report: LoadReport, now_ms: u64) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.report = Some((report, now_ms));
+            known.in_flight_at_report = known.in_flight;
+        }
+    }
+
+    /// Notes that a server says with an answer that it is leaving.
+    pub fn leaving(&mut self, id: &str) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.leaving = true;
+        }
+    }
+
+    /// Notes the end of a request that [`choose`](Self::choose) counted.
+    /// Returns `true` if it made the server be ejected.
+    pub fn finish(&mut self, id: &str, end: End, now_ms: u64) -> bool {
+        let Some(known) = self.servers.get_mut(id) else {
+            return false;
+        };
+        known.in_flight = known.in_flight.saturating_sub(1);
+        if known.in_flight == 0 {
+            known.reading = 0;
+        }
+        match end {
+            End::Neutral => {}
+            End::Answered => {
+                known.failures = 0;
+                known.ejections = 0;
+            }
+            End::Full => known.avoid_until_ms = known.avoid_until_ms.max(now_ms + FULL_PAUSE_MS),
+            End::Gone => known.leaving = true,
+            End::Failed => {
+                known.failures += 1;
+                known.parts = Parts::default();
+                if known.failures >= FAILURES_TO_EJECT || known.ejections > 0 {
+                    let doubled = FIRST_EJECTION_MS << known.ejections.min(8);
+                    known.avoid_until_ms = now_ms + doubled.min(MAX_EJECTION_MS);
+                    known.ejections += 1;
+                    known.failures = 0;
+                    return true;
+                }
+            }
+        }
+        false
+    }
+}
+
+fn slow_penalty(first_byte_ms: f64, median_ms: Option<f64>) -> f64 {
+    match median_ms {
+        Some(median) if first_byte_ms > median * SLOW_FACTOR => first_byte_ms - median,
+        _ => 0.0,
+    }
+}
+
+fn median_first_byte(candidates: &[&Known]) -> Option<f64> {
+    let mut times: Vec<f64> = candidates
+        .iter()
+        .filter_map(|known| known.first_byte_ms)
+        .collect();
+    times.sort_unstable_by(f64::total_cmp);
+    times.get(times.len() / 2).copied()
+}
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -27,7 +27,7 @@
     Bill, BudgetReport, Claim, ClaimVerdict, GrantReply, Outcome, Report, ReportReply, Settlement,
     Verdict,
 };
-pub use self::wallet::{Accepted, Reservation, Reserve, Wallet};
+pub use self::wallet::{Accepted, Forecast, Reservation, Reserve, Wallet};
 
 quick_error! {
     /// A ledger error.
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -31,9 +31,6 @@
 /// How long an unmet need asks other wallets for their idle grants, in
 /// milliseconds.
 const RECALL_MS: u64 = 2_000;
-/// A wallet's wish beyond its need is met with at most this share of what is
-/// free, so that the last tokens of a budget are not held idle.
-const WISH_DIVISOR: u64 = 8;
 
 /// What is recorded about a request key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -406,7 +403,7 @@
                 given = 0;
             }
             let wished = position.want.saturating_sub(grant.granted + given);
-            let extra = wished.min((account.free() - given) / WISH_DIVISOR);
+            let extra = wished.min((account.free() - given) / 100 * u64::from(position.wish_percent.min(100)));
             grant.granted += given + extra;
             account.grants.insert(incarnation, grant);
         }
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -75,6 +75,9 @@
     pub least: u64,
     /// Total grants that would cover the near future as well.
     pub want: u64,
+    /// Most of the free tokens that the wish beyond the need may take, in
+    /// percent.
+    pub wish_percent: u8,
     /// Total given back unspent.
     pub returned: u64,
 }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -7,13 +7,39 @@
 };
 use crate::ids::{BudgetName, Incarnation, RequestKey};
 
-/// How far ahead of its spending a wallet keeps grants, in milliseconds.
+/// How far ahead of its spending a wallet keeps grants by default, in
+/// milliseconds.
 const HORIZON_MS: u64 = 2_000;
+/// Share of what is free at the record that a wish may take by default, in
+/// percent, so that the last tokens of a budget are not held idle.
+const WISH_PERCENT: u8 = 12;
 /// Fewest free tokens at the record for which a wallet asks ahead of need.
 const MIN_WISH: u64 = 64;
 /// Time constant of the spend-rate estimate, in milliseconds.
 const RATE_WINDOW_MS: u64 = 5_000;
 
+/// How much a wallet asks for ahead of its needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forecast {
+    /// How long grants should last at the present rate, in milliseconds.
+    pub horizon_ms: u64,
+    /// Most of what is free at the record that one wish may take, in percent.
+    pub share_percent: u8,
+    /// Spare tokens to hold even while little is spent, as a share of what was
+    /// paid, in percent.
+    pub floor_percent: u8,
+}
+
+impl Default for Forecast {
+    fn default() -> Self {
+        Self {
+            horizon_ms: HORIZON_MS,
+            share_percent: WISH_PERCENT,
+            floor_percent: 0,
+        }
+    }
+}
+
 /// Tokens set aside for a request that is running.
 ///
 /// It must be given back to its wallet by [`Wallet::settle`] or
@@ -104,15 +130,16 @@
 
     /// Spare tokens that cover the near future.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn cushion(&self) -> u64 {
+    fn cushion(&self, forecast: Forecast) -> u64 {
         if self.recall {
             return 0;
         }
-        (self.rate * as_f64(HORIZON_MS) / 1_000.0) as u64
+        let expected = (self.rate * as_f64(forecast.horizon_ms) / 1_000.0) as u64;
+        expected.max(self.paid / 100 * u64::from(forecast.floor_percent))
     }
 
-    fn give_back(&mut self) {
-        let cushion = self.cushion();
+    fn give_back(&mut self, forecast: Forecast) {
+        let cushion = self.cushion(forecast);
         // While others are short, a spare that is too small for the waiting
         // requests here may complete what another wallet lacks.
         let kept = if self.recall { 0 } else { self.lacking };
@@ -122,7 +149,7 @@
         }
     }
 
-    fn position(&self, budget: &BudgetName) -> BudgetReport {
+    fn position(&self, budget: &BudgetName, forecast: Forecast) -> BudgetReport {
         let base = self.returned + self.spent + self.reserved;
         let need = base + self.lacking;
         BudgetReport {
@@ -130,18 +157,19 @@
             paid: self.paid,
             need,
             least: base + self.least_lacking,
-            want: need + self.cushion(),
+            want: need + self.cushion(forecast),
+            wish_percent: forecast.share_percent,
             returned: self.returned,
         }
     }
 
-    fn is_low(&self) -> bool {
-        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion() / 2
+    fn is_low(&self, forecast: Forecast) -> bool {
+        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion(forecast) / 2
     }
 
     /// Whether the record should hear of this purse.
-    fn needs_report(&self) -> bool {
-        self.is_low()
+    fn needs_report(&self, forecast: Forecast) -> bool {
+        self.is_low(forecast)
             || self.lacking > 0
             || self.paid > self.recorded_paid
             || self.returned > self.recorded_returned
@@ -162,6 +190,7 @@
 pub struct Wallet {
     incarnation: Incarnation,
     address: String,
+    forecast: Forecast,
     purses: HashMap<BudgetName, Purse>,
     outbox: BTreeMap<u64, Settlement>,
     claims: BTreeMap<(RequestKey, u64), Claim>,
@@ -177,6 +206,7 @@
         Self {
             incarnation,
             address: String::new(),
+            forecast: Forecast::default(),
             purses: HashMap::new(),
             outbox: BTreeMap::new(),
             claims: BTreeMap::new(),
@@ -193,6 +223,13 @@
         self
     }
 
+    /// Says how much to ask for ahead of needs.
+    #[must_use]
+    pub fn with_forecast(mut self, forecast: Forecast) -> Self {
+        self.forecast = forecast;
+        self
+    }
+
     /// The run of the router that this wallet belongs to.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
@@ -304,7 +341,7 @@
     /// may have more.
     #[must_use]
     pub fn is_low(&self, budget: &BudgetName) -> bool {
-        self.purses.get(budget).is_some_and(Purse::is_low)
+        self.purses.get(budget).is_some_and(|purse| purse.is_low(self.forecast))
     }
 
     /// Whether no record has ever heard of this wallet.
@@ -360,9 +397,9 @@
         let mut budgets = Vec::new();
         for (budget, purse) in &mut self.purses {
             purse.decay(now_ms);
-            purse.give_back();
-            if purse.needs_report() {
-                budgets.push(purse.position(budget));
+            purse.give_back(self.forecast);
+            if purse.needs_report(self.forecast) {
+                budgets.push(purse.position(budget, self.forecast));
             }
         }
         Report {
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -61,6 +61,8 @@
 pub mod config;
 pub mod dedupe;
 pub mod doubt;
+pub mod events;
+pub mod forwarding;
 pub mod ids;
 pub mod ledger;
 pub mod members;
