--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use peridotslip::ids::Incarnation;
+use peridotslip::{ids::Incarnation, ledger::Voucher};
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
@@ -135,6 +135,7 @@
 #[serde(untagged)]
 enum Answer {
     Verdict(Verdict),
+    Voucher(Option<Voucher>),
     Done(bool),
 }
 
@@ -154,6 +155,14 @@
             shared.treasury.settle_for(&settlements);
             Answer::Done(true)
         }
+        Ask::Lend {
+            organisation,
+            tokens,
+        } => Answer::Voucher(shared.treasury.lend(&organisation, tokens)),
+        Ask::Take(vouchers) => {
+            shared.treasury.take(vouchers);
+            Answer::Done(true)
+        }
         Ask::Probe => Answer::Done(!shared.is_stopping()),
     }
 }
@@ -193,7 +202,7 @@
     let open = shared.open_requests.load(Ordering::Relaxed);
     log::info!(open; "stopping: readiness is off");
     shared.stopping.store(true, Ordering::Relaxed);
-    shared.treasury.leave();
+    shared.treasury.leave().await;
     tokio::time::sleep(Duration::from_millis(ANNOUNCE_MS)).await;
     stop_tx.send_replace(true);
     let drained_until = until - Duration::from_millis(CLOSE_MS * 2);
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -18,7 +18,10 @@
 
 use peridotslip::{
     ids::{BudgetName, Incarnation, OrganisationName},
-    ledger::{Bill, Forecast, GrantReply, Report, Reservation, Reserve, ShardRecord, Wallet},
+    ledger::{
+        Bill, Forecast, GrantReply, Report, ReportReply, Reservation, Reserve, ShardRecord,
+        Voucher, Wallet,
+    },
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -52,8 +55,15 @@
 const MAX_HOMES: usize = 3;
 /// Time between two groups of settlements to homes, in milliseconds.
 const SETTLE_GROUP_MS: u64 = 100;
-/// Times that a group of settlements is sent.
-const SETTLE_TRIES: u32 = 3;
+/// Times that settlements and vouchers are sent.
+const SEND_TRIES: u32 = 3;
+/// Shortest time between two rounds of borrowing for one organisation, in
+/// milliseconds.
+const BORROW_PAUSE_MS: u64 = 300;
+/// A round of borrowing asks for this part of what was paid beyond the need.
+const BORROW_DIVISOR: u64 = 20;
+/// Routers asked in one round of borrowing.
+const MAX_LENDERS: usize = 8;
 /// A reservation of another router that is older counts as spent, in
 /// milliseconds: longer than any request lasts.
 const TICKET_AGE_MS: u64 = 60_000;
@@ -77,6 +87,13 @@
     },
     /// End reservations, each with the tokens used.
     Settle(Vec<(Ticket, u64)>),
+    /// Hand over tokens that the store can't grant now.
+    Lend {
+        organisation: OrganisationName,
+        tokens: u64,
+    },
+    /// Take over tokens of a router that leaves.
+    Take(Vec<(OrganisationName, Voucher)>),
     /// Are you there?
     Probe,
 }
@@ -104,7 +121,12 @@
 }
 
 struct Account {
+    organisation: OrganisationName,
     key: String,
+    /// Whether the last exchange with the store failed.
+    cut_off: AtomicBool,
+    /// When other routers were last asked for tokens.
+    borrowed_at: tokio::sync::Mutex<Option<Instant>>,
     budget: BudgetName,
     state: Mutex<State>,
     /// Wakes the task that exchanges reports with the record.
@@ -299,22 +321,47 @@
         }
     }
 
+    /// Whether this router is the home of an organisation's budget.
+    fn is_home(&self, organisation: &OrganisationName) -> bool {
+        let ranked = self.peers.ranked(organisation.as_str(), true);
+        let first = ranked
+            .first()
+            .is_some_and(|home| home.vm == self.peers.me().vm);
+        first && !self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// How much to ask for ahead of needs: nothing where another router is
+    /// home, so that what it lacks is not held here.
+    fn forecast(&self, organisation: &OrganisationName) -> Forecast {
+        if self.is_home(organisation) {
+            Forecast {
+                horizon_ms: self.settings.horizon_ms,
+                share_percent: WISH_PERCENT,
+                floor_percent: FLOOR_PERCENT,
+            }
+        } else {
+            Forecast {
+                horizon_ms: 0,
+                share_percent: 0,
+                floor_percent: 0,
+            }
+        }
+    }
+
     fn account(self: &Arc<Self>, organisation: &OrganisationName) -> Arc<Account> {
         let mut accounts = lock(&self.accounts);
         if let Some(account) = accounts.get(organisation) {
             return account.clone();
         }
-        let forecast = Forecast {
-            horizon_ms: self.settings.horizon_ms,
-            share_percent: WISH_PERCENT,
-            floor_percent: FLOOR_PERCENT,
-        };
         let me = self.peers.me();
         let wallet = Wallet::new(me.incarnation)
             .at(&me.address)
-            .with_forecast(forecast);
+            .with_forecast(self.forecast(organisation));
         let account = Arc::new(Account {
+            organisation: organisation.clone(),
             key: format!("{LEDGER_PREFIX}{organisation}"),
+            cut_off: AtomicBool::new(false),
+            borrowed_at: tokio::sync::Mutex::default(),
             budget: organisation.as_str().into(),
             state: Mutex::new(State {
                 wallet,
@@ -336,8 +383,7 @@
             return;
         }
         for (organisation, paid) in paid {
-            let ranked = self.peers.ranked(organisation.as_str(), true);
-            let home = ranked.first().is_some_and(|home| home.vm == self.peers.me().vm);
+            let home = self.is_home(organisation);
             let known = lock(&self.accounts).contains_key(organisation);
             if home || known {
                 let account = self.account(organisation);
@@ -373,12 +419,97 @@
                 }
             }
             account.refill.notify_one();
-            if tokio::time::timeout_at(until, refilled).await.is_err() {
+            let cut_off = account.cut_off.load(Ordering::Relaxed);
+            if cut_off && !self.borrow(&account, paid, tokens).await {
+                return Err(Denied::Short);
+            }
+            if !cut_off && tokio::time::timeout_at(until, refilled).await.is_err() {
                 return Err(Denied::Short);
             }
         }
     }
 
+    /// Asks other routers for tokens that they hold, while the store can't
+    /// grant any. Returns whether there are enough now.
+    async fn borrow(&self, account: &Account, paid: u64, tokens: u64) -> bool {
+        let mut borrowed_at = account.borrowed_at.lock().await;
+        let enough = || account.lock().wallet.spendable(&account.budget) >= tokens;
+        let pause = Duration::from_millis(BORROW_PAUSE_MS);
+        if enough() {
+            return true;
+        }
+        if borrowed_at.is_some_and(|at| at.elapsed() < pause) {
+            return false;
+        }
+        *borrowed_at = Some(Instant::now());
+        let ask = Ask::Lend {
+            organisation: account.organisation.clone(),
+            tokens: tokens + paid / BORROW_DIVISOR,
+        };
+        let lenders = self.peers.ranked(account.organisation.as_str(), false);
+        for lender in lenders.into_iter().take(MAX_LENDERS) {
+            let timeout = Duration::from_millis(ASK_SLACK_MS);
+            let answer: crate::rpc::Result<Option<Voucher>> =
+                self.peers.ask(&lender, &ask, timeout).await;
+            if let Ok(Some(voucher)) = answer {
+                log::info!(budget = account.budget.as_str(), lender = lender.vm.as_str(), tokens = voucher.tokens; "tokens borrowed while the store is away");
+                account.lock().wallet.borrow(voucher);
+            }
+            if enough() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Hands tokens over to another router.
+    pub(crate) fn lend(&self, organisation: &OrganisationName, tokens: u64) -> Option<Voucher> {
+        let account = lock(&self.accounts).get(organisation).cloned()?;
+        let home = self.is_home(organisation);
+        let mut state = account.lock();
+        let tokens = if home {
+            tokens.min(state.wallet.spendable(&account.budget) / 2)
+        } else {
+            u64::MAX
+        };
+        state.wallet.lend(&account.budget, tokens)
+    }
+
+    /// Takes over tokens of another router.
+    pub(crate) fn take(self: &Arc<Self>, vouchers: Vec<(OrganisationName, Voucher)>) {
+        for (organisation, voucher) in vouchers {
+            let account = self.account(&organisation);
+            let tokens = voucher.tokens;
+            if account.lock().wallet.borrow(voucher) {
+                log::info!(budget = account.budget.as_str(), tokens; "tokens taken over from a router that leaves");
+            }
+        }
+    }
+
+    /// Hands everything that can be spent over to the next homes.
+    async fn hand_over(self: &Arc<Self>) {
+        let accounts: Vec<_> = lock(&self.accounts).values().cloned().collect();
+        let mut groups: HashMap<String, (Member, Vec<(OrganisationName, Voucher)>)> =
+            HashMap::new();
+        for account in accounts {
+            let ranked = self.peers.ranked(account.organisation.as_str(), false);
+            let Some(home) = ranked.into_iter().next() else {
+                continue;
+            };
+            if let Some(voucher) = account.lock().wallet.lend(&account.budget, u64::MAX) {
+                let group = groups
+                    .entry(home.vm.clone())
+                    .or_insert_with(|| (home, Vec::new()));
+                group.1.push((account.organisation.clone(), voucher));
+            }
+        }
+        for (home, vouchers) in groups.into_values() {
+            let tokens: u64 = vouchers.iter().map(|(_, voucher)| voucher.tokens).sum();
+            log::info!(home = home.vm.as_str(), tokens; "handing tokens over");
+            send(&self.peers, &home, &Ask::Take(vouchers)).await;
+        }
+    }
+
     fn settle_here(&self, organisation: &OrganisationName, reservation: Reservation, used: u64) {
         let account = lock(&self.accounts).get(organisation).cloned();
         if let Some(account) = account {
@@ -402,7 +533,11 @@
         loop {
             let pace = Duration::from_millis(self.settings.settle_ms);
             let _paced = tokio::time::timeout(pace, account.refill.notified()).await;
-            match self.exchange(&account, &mut known).await {
+            let forecast = self.forecast(&account.organisation);
+            account.lock().wallet.set_forecast(forecast);
+            let outcome = self.exchange(&account, &mut known).await;
+            account.cut_off.store(outcome.is_err(), Ordering::Relaxed);
+            match outcome {
                 Ok(()) => {
                     backoff_ms = FIRST_BACKOFF_MS;
                     tokio::time::sleep(Duration::from_millis(MIN_EXCHANGE_GAP_MS)).await;
@@ -425,8 +560,12 @@
         account: &Account,
         known: &mut Option<(u64, ShardRecord)>,
     ) -> Result<(), StoreError> {
-        let report = account.lock().wallet.report(self.clock.now_ms());
-        if report.is_empty() {
+        let (report, vouchers) = {
+            let mut state = account.lock();
+            let vouchers = state.wallet.voucher_reports();
+            (state.wallet.report(self.clock.now_ms()), vouchers)
+        };
+        if report.is_empty() && vouchers.is_empty() {
             return Ok(());
         }
         for _ in 0..MAX_SWAPS {
@@ -435,12 +574,18 @@
                 None => self.read_record(&account.key).await?,
             };
             let mut next = record;
-            let reply = next.apply(&report, self.clock.unix_ms());
+            let now_ms = self.clock.unix_ms();
+            let apply = |report| next.apply(report, now_ms);
+            let voucher_replies: Vec<ReportReply> = vouchers.iter().map(apply).collect();
+            let reply = next.apply(&report, now_ms);
             next.expire();
             self.metrics.store_call("swap");
             match self.store.swap(&account.key, revision, &next.encode()).await? {
                 Swap::Done(revision) => {
                     *known = Some((revision, next));
+                    for reply in &voucher_replies {
+                        account.lock().wallet.accept_voucher_reply(reply);
+                    }
                     self.accept(account, &report, &reply);
                     return Ok(());
                 }
@@ -453,7 +598,7 @@
         Err(StoreError::Unavailable("too many conflicts".to_owned()))
     }
 
-    fn accept(&self, account: &Account, report: &Report, reply: &peridotslip::ledger::ReportReply) {
+    fn accept(&self, account: &Account, report: &Report, reply: &ReportReply) {
         let mut state = account.lock();
         state.wallet.accept(reply);
         if let Some(grant) = reply.grants.first() {
@@ -494,24 +639,27 @@
         }
     }
 
-    /// Stops taking reservations for other routers and gives back what is
-    /// not spent. Call it when no request is running any more.
+    /// Gives back what is not spent: to the store, or to other routers if it
+    /// is away. Call it when no request is running any more.
     pub(crate) async fn close(self: &Arc<Self>, limit: Duration) {
         let accounts: Vec<_> = lock(&self.accounts).values().cloned().collect();
         let until = tokio::time::Instant::now() + limit;
         for account in accounts {
-            account.lock().wallet.close();
             let mut known = None;
+            let forecast = self.forecast(&account.organisation);
+            account.lock().wallet.set_forecast(forecast);
             let closing = self.exchange(&account, &mut known);
             if !matches!(tokio::time::timeout_at(until, closing).await, Ok(Ok(()))) {
-                log::warn!(budget = account.budget.as_str(); "grant could not be given back");
+                log::warn!(budget = account.budget.as_str(); "grant could not be settled with the store");
             }
         }
+        self.hand_over().await;
     }
 
-    /// Tells other routers to choose other homes from now on.
-    pub(crate) fn leave(&self) {
+    /// Stops being home to any budget, and hands over what can be spent.
+    pub(crate) async fn leave(self: &Arc<Self>) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.hand_over().await;
     }
 
     /// Whether other routers still have reservations here.
@@ -527,15 +675,20 @@
 }
 
 async fn send_group(peers: Arc<Peers>, home: Member, settlements: Vec<(Ticket, u64)>) {
-    let ask = Ask::Settle(settlements);
-    for _ in 0..SETTLE_TRIES {
+    send(&peers, &home, &Ask::Settle(settlements)).await;
+}
+
+/// Sends what must arrive, a few times until it is acknowledged. The receiver
+/// takes a repeated message in once.
+async fn send(peers: &Peers, home: &Member, ask: &Ask) {
+    for _ in 0..SEND_TRIES {
         let timeout = Duration::from_millis(ASK_SLACK_MS * 2);
-        if peers.ask::<_, bool>(&home, &ask, timeout).await.is_ok() {
+        if peers.ask::<_, bool>(home, ask, timeout).await.is_ok() {
             return;
         }
         tokio::time::sleep(Duration::from_millis(SETTLE_GROUP_MS)).await;
     }
-    log::warn!(home = home.vm.as_str(); "settlements could not be delivered; their bounds count as spent");
+    log::warn!(home = home.vm.as_str(); "tokens could not be delivered; they count as spent");
 }
 
 enum Place {
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -25,7 +25,7 @@
 pub use self::record::{KeyEntry, KeyState, ShardRecord};
 pub use self::report::{
     Bill, BudgetReport, Claim, ClaimVerdict, GrantReply, Outcome, Report, ReportReply, Settlement,
-    Verdict,
+    Verdict, Voucher,
 };
 pub use self::wallet::{Accepted, Forecast, Reservation, Reserve, Wallet};
 
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -282,14 +282,18 @@
         let duplicate = self.record_outcome(incarnation, &settlement.bill);
         let account = self.accounts.entry(settlement.budget.clone()).or_default();
         let tokens = settlement.bill.tokens;
+        let held = settlement.held.max(tokens);
         if duplicate {
             if let Some(grant) = account.grants.get_mut(&incarnation) {
-                grant.consume(tokens);
+                grant.consume(held);
             }
             return Verdict::Duplicate;
         }
         let uncovered = match account.grants.get_mut(&incarnation) {
-            Some(grant) if !closed => grant.consume(tokens),
+            Some(grant) if !closed => {
+                let covered = held - grant.consume(held);
+                tokens.saturating_sub(covered)
+            }
             _ => tokens,
         };
         account.settled += tokens - uncovered;
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -48,6 +48,26 @@
     pub budget: BudgetName,
     /// The bill.
     pub bill: Bill,
+    /// Tokens of the grant that the settlement lets go: those billed, and the
+    /// unspent rest of a voucher, which nobody holds any more.
+    pub held: u64,
+}
+
+/// Tokens of one wallet's grant that another wallet may spend.
+///
+/// The lender counts them as spent before it sends the voucher, and whoever
+/// has it settles it once, under the lender's number. A voucher that is lost
+/// is never spent and never free again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Voucher {
+    /// The wallet whose grant it is part of.
+    pub lender: Incarnation,
+    /// The number of its settlement in the lender's sequence.
+    pub seq: u64,
+    /// The budget.
+    pub budget: BudgetName,
+    /// The tokens.
+    pub tokens: u64,
 }
 
 /// A request to be the only one that may run a key.
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -1,9 +1,10 @@
 //! The router's side of the ledger.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::{
     Bill, BudgetReport, Claim, ClaimVerdict, Outcome, Report, ReportReply, Settlement, Verdict,
+    Voucher,
 };
 use crate::ids::{BudgetName, Incarnation, RequestKey};
 
@@ -82,6 +83,8 @@
     returned: u64,
     spent: u64,
     reserved: u64,
+    /// Vouchers of other wallets that are in use.
+    vouchers: Vec<Borrowed>,
     /// Tokens that waiting requests lack, in all and for the smallest.
     lacking: u64,
     least_lacking: u64,
@@ -98,9 +101,65 @@
     recorded_returned: u64,
 }
 
+/// A voucher and what has been spent of it.
+#[derive(Clone, Debug)]
+struct Borrowed {
+    voucher: Voucher,
+    spent: u64,
+}
+
+impl Borrowed {
+    fn left(&self) -> u64 {
+        self.voucher.tokens - self.spent
+    }
+}
+
 impl Purse {
     fn spendable(&self) -> u64 {
-        self.granted - self.returned - self.spent - self.reserved
+        self.own_left() + self.borrowed_left() - self.reserved
+    }
+
+    /// Tokens of the wallet's own grant that are not spent or given back.
+    fn own_left(&self) -> u64 {
+        self.granted - self.returned - self.spent
+    }
+
+    fn borrowed_left(&self) -> u64 {
+        self.vouchers.iter().map(Borrowed::left).sum()
+    }
+
+    /// Tokens of the wallet's own grant that no running request may need.
+    fn own_spare(&self) -> u64 {
+        let needed = self.reserved.saturating_sub(self.borrowed_left());
+        self.own_left() - needed.min(self.own_left())
+    }
+
+    /// Spends out of vouchers as far as they reach and returns the rest.
+    fn spend_borrowed(&mut self, tokens: u64) -> u64 {
+        let mut rest = tokens;
+        for borrowed in &mut self.vouchers {
+            let part = rest.min(borrowed.left());
+            borrowed.spent += part;
+            rest -= part;
+        }
+        rest
+    }
+
+    /// Takes out the vouchers that the running requests don't need.
+    fn take_spare_vouchers(&mut self) -> Vec<Borrowed> {
+        let mut spare = Vec::new();
+        let mut kept = Vec::new();
+        let mut free = self.spendable();
+        for borrowed in std::mem::take(&mut self.vouchers) {
+            if borrowed.left() <= free {
+                free -= borrowed.left();
+                spare.push(borrowed);
+            } else {
+                kept.push(borrowed);
+            }
+        }
+        self.vouchers = kept;
+        spare
     }
 
     /// Notes that a waiting request lacks tokens.
@@ -143,14 +202,15 @@
         // While others are short, a spare that is too small for the waiting
         // requests here may complete what another wallet lacks.
         let kept = if self.recall { 0 } else { self.lacking };
-        let spare = self.spendable().saturating_sub(kept);
+        let spare = self.own_spare().saturating_sub(kept);
         if spare > cushion.saturating_mul(2) {
             self.returned += spare - cushion;
         }
     }
 
     fn position(&self, budget: &BudgetName, forecast: Forecast) -> BudgetReport {
-        let base = self.returned + self.spent + self.reserved;
+        let reserved = self.reserved.saturating_sub(self.borrowed_left());
+        let base = self.returned + self.spent + reserved;
         let need = base + self.lacking;
         BudgetReport {
             budget: budget.clone(),
@@ -185,7 +245,8 @@
 /// one ledger shard.
 ///
 /// The invariant is `spent + reserved + returned <= granted` for each budget,
-/// where `granted` only ever rises by [`accept`](Self::accept).
+/// where `granted` only ever rises by [`accept`](Self::accept) and vouchers
+/// add to it.
 #[derive(Clone, Debug)]
 pub struct Wallet {
     incarnation: Incarnation,
@@ -193,6 +254,10 @@
     forecast: Forecast,
     purses: HashMap<BudgetName, Purse>,
     outbox: BTreeMap<u64, Settlement>,
+    /// Settlements of other wallets' vouchers that no reply has confirmed.
+    borrowed_outbox: BTreeMap<(Incarnation, u64), Settlement>,
+    /// Vouchers that have been taken in, so that none counts twice.
+    seen_vouchers: HashSet<(Incarnation, u64)>,
     claims: BTreeMap<(RequestKey, u64), Claim>,
     last_seq: u64,
     closing: bool,
@@ -209,6 +274,8 @@
             forecast: Forecast::default(),
             purses: HashMap::new(),
             outbox: BTreeMap::new(),
+            borrowed_outbox: BTreeMap::new(),
+            seen_vouchers: HashSet::new(),
             claims: BTreeMap::new(),
             last_seq: 0,
             closing: false,
@@ -266,16 +333,98 @@
         bill.tokens = bill.tokens.min(reservation.tokens);
         let purse = self.purses.entry(reservation.budget.clone()).or_default();
         purse.reserved -= reservation.tokens;
-        purse.spent += bill.tokens;
         purse.note_spend(bill.tokens, now_ms);
+        if bill.key.is_none() {
+            bill.tokens = purse.spend_borrowed(bill.tokens);
+        }
+        purse.spent += bill.tokens;
+        if bill.key.is_none() && bill.tokens == 0 {
+            return self.last_seq;
+        }
         self.post(reservation.budget, bill)
     }
 
+    /// Hands out up to `tokens` of `budget` that are granted to this wallet
+    /// and not needed, for another wallet to spend.
+    pub fn lend(&mut self, budget: &BudgetName, tokens: u64) -> Option<Voucher> {
+        let purse = self.purses.get_mut(budget)?;
+        let tokens = tokens.min(purse.own_spare());
+        if tokens == 0 {
+            return None;
+        }
+        purse.spent += tokens;
+        self.last_seq += 1;
+        Some(Voucher {
+            lender: self.incarnation,
+            seq: self.last_seq,
+            budget: budget.clone(),
+            tokens,
+        })
+    }
+
+    /// Takes in a voucher; `false` if it had been taken in before or is this
+    /// wallet's own.
+    pub fn borrow(&mut self, voucher: Voucher) -> bool {
+        let fresh = self.seen_vouchers.insert((voucher.lender, voucher.seq));
+        if !fresh || voucher.lender == self.incarnation {
+            return false;
+        }
+        let purse = self.purses.entry(voucher.budget.clone()).or_default();
+        purse.vouchers.push(Borrowed { voucher, spent: 0 });
+        true
+    }
+
+    /// What to tell the record in place of the lenders of vouchers: what was
+    /// spent of them, and that the rest is free again.
+    pub fn voucher_reports(&mut self) -> Vec<Report> {
+        for purse in self.purses.values_mut() {
+            for borrowed in purse.take_spare_vouchers() {
+                let Borrowed { voucher, spent } = borrowed;
+                let settlement = Settlement {
+                    seq: voucher.seq,
+                    budget: voucher.budget,
+                    bill: Bill::new(None, spent),
+                    held: voucher.tokens,
+                };
+                self.borrowed_outbox
+                    .insert((voucher.lender, voucher.seq), settlement);
+            }
+        }
+        let mut reports: BTreeMap<Incarnation, Report> = BTreeMap::new();
+        for ((lender, _), settlement) in &self.borrowed_outbox {
+            let report = reports.entry(*lender).or_insert_with(|| Report {
+                incarnation: *lender,
+                ..Report::default()
+            });
+            report.settlements.push(settlement.clone());
+        }
+        reports.into_values().collect()
+    }
+
+    /// Takes in the record's reply to a report on vouchers.
+    pub fn accept_voucher_reply(&mut self, reply: &ReportReply) {
+        for (seq, _) in &reply.settled {
+            self.borrowed_outbox.remove(&(reply.incarnation, *seq));
+        }
+    }
+
+    /// Tokens that waiting requests of `budget` lack.
+    #[must_use]
+    pub fn lacking(&self, budget: &BudgetName) -> u64 {
+        self.purses.get(budget).map_or(0, |purse| purse.lacking)
+    }
+
+    /// Changes how much to ask for ahead of needs.
+    pub fn set_forecast(&mut self, forecast: Forecast) {
+        self.forecast = forecast;
+    }
+
     fn post(&mut self, budget: BudgetName, bill: Bill) -> u64 {
         self.last_seq += 1;
         let settlement = Settlement {
             seq: self.last_seq,
             budget,
+            held: bill.tokens,
             bill,
         };
         self.outbox.insert(self.last_seq, settlement);
