--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -112,6 +112,9 @@
 pub struct Money {
     /// How long grants must last while the store is away, in milliseconds.
     pub horizon_ms: u64,
+    /// Most of an organisation's unspent tokens that its home holds, in
+    /// percent. What a router holds is lost if it ends without a shutdown.
+    pub most_percent: u8,
     /// Time between two reports to the store, in milliseconds.
     pub settle_ms: u64,
     /// Longest wait of a request for tokens, in milliseconds.
@@ -122,7 +125,8 @@
     fn default() -> Self {
         Self {
             horizon_ms: 12_000,
-            settle_ms: 2_000,
+            most_percent: 40,
+            settle_ms: 1_000,
             wait_ms: 250,
         }
     }
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -36,8 +36,9 @@
 
 /// Keys of ledger records begin with this; the organisation's name follows.
 const LEDGER_PREFIX: &str = "peridotslip/ledger/";
-/// Most of what is free at the record that a home takes at once, in percent.
-const WISH_PERCENT: u8 = 40;
+/// Most of what is free at the record that a home takes at once, in percent;
+/// what it may hold in all is a setting.
+const WISH_PERCENT: u8 = 100;
 /// Tokens that a home holds while it doesn't know the rate, in percent of
 /// what was paid.
 const FLOOR_PERCENT: u8 = 15;
@@ -338,12 +339,14 @@
                 horizon_ms: self.settings.horizon_ms,
                 share_percent: WISH_PERCENT,
                 floor_percent: FLOOR_PERCENT,
+                most_percent: self.settings.most_percent,
             }
         } else {
             Forecast {
                 horizon_ms: 0,
                 share_percent: 0,
                 floor_percent: 0,
+                most_percent: 0,
             }
         }
     }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -16,6 +16,8 @@
 const WISH_PERCENT: u8 = 12;
 /// Fewest free tokens at the record for which a wallet asks ahead of need.
 const MIN_WISH: u64 = 64;
+/// Shortest time over which spending is averaged, in milliseconds.
+const MIN_RATE_AGE_MS: u64 = 1_000;
 /// Time constant of the spend-rate estimate, in milliseconds.
 const RATE_WINDOW_MS: u64 = 5_000;
 
@@ -29,6 +31,9 @@
     /// Spare tokens to hold even while little is spent, as a share of what was
     /// paid, in percent.
     pub floor_percent: u8,
+    /// Most spare tokens to hold, as a share of those and of what is free at
+    /// the record, in percent. It bounds what is lost with the router.
+    pub most_percent: u8,
 }
 
 impl Default for Forecast {
@@ -37,6 +42,7 @@
             horizon_ms: HORIZON_MS,
             share_percent: WISH_PERCENT,
             floor_percent: 0,
+            most_percent: 100,
         }
     }
 }
@@ -93,6 +99,8 @@
     /// Spend per second, exponentially averaged.
     rate: f64,
     rate_at_ms: u64,
+    /// When spending began.
+    rate_since_ms: Option<u64>,
     /// Tokens that the record had free when last heard of.
     free_at_record: u64,
     /// The `paid` figure that the record is known to hold.
@@ -178,6 +186,7 @@
 
     fn note_spend(&mut self, tokens: u64, now_ms: u64) {
         self.decay(now_ms);
+        self.rate_since_ms.get_or_insert(now_ms);
         self.rate += as_f64(tokens) * 1_000.0 / as_f64(RATE_WINDOW_MS);
     }
 
@@ -193,8 +202,25 @@
         if self.recall {
             return 0;
         }
-        let expected = (self.rate * as_f64(forecast.horizon_ms) / 1_000.0) as u64;
-        expected.max(self.paid / 100 * u64::from(forecast.floor_percent))
+        let expected = (self.unbiased_rate() * as_f64(forecast.horizon_ms) / 1_000.0) as u64;
+        let floor = self.paid / 100 * u64::from(forecast.floor_percent);
+        let reach = if self.recorded_paid == 0 {
+            self.paid
+        } else {
+            self.free_at_record + self.own_spare()
+        };
+        let most = reach / 100 * u64::from(forecast.most_percent);
+        expected.max(floor).min(most)
+    }
+
+    /// Spend per second, corrected for an average that has not yet run over
+    /// its whole window.
+    fn unbiased_rate(&self) -> f64 {
+        let age = self
+            .rate_since_ms
+            .map_or(0, |since| self.rate_at_ms.saturating_sub(since));
+        let age = age.max(MIN_RATE_AGE_MS);
+        self.rate / (1.0 - (-as_f64(age) / as_f64(RATE_WINDOW_MS)).exp())
     }
 
     fn give_back(&mut self, forecast: Forecast) {
@@ -224,7 +250,7 @@
     }
 
     fn is_low(&self, forecast: Forecast) -> bool {
-        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion(forecast) / 2
+        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion(forecast) / 4 * 3
     }
 
     /// Whether the record should hear of this purse.
