--- a/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard.rs
@@ -248,7 +248,7 @@
                     self.exchange(cx.actor_ref());
                 }
             }
-            Reserve::Short => {
+            Reserve::Short | Reserve::Unwitnessed(_) => {
                 self.waiting.push_back(Waiting {
                     request,
                     since: Instant::now(),
--- a/crates/peridotslip-daemon/src/controllers/ledger/shard/waiting.rs
+++ b/crates/peridotslip-daemon/src/controllers/ledger/shard/waiting.rs
@@ -53,7 +53,7 @@
             let request = &waiting.request;
             match self.wallet.reserve(&request.budget, request.tokens, now_ms) {
                 Reserve::Held(reservation) => self.hand_over(waiting.request, reservation),
-                Reserve::Short => {
+                Reserve::Short | Reserve::Unwitnessed(_) => {
                     if self.may_still_find(&mut waiting, me) {
                         self.waiting.push_back(waiting);
                     } else {
--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -7,16 +7,13 @@
 };
 
 use peridotslip::{forwarding::RoutingIndex, ids::OrganisationName};
-use serde::{Deserialize, Serialize};
 
 use crate::{
     context::Shared,
-    peers::Member,
+    registry,
     ports::{Change, Item, StoreError},
 };
 
-/// Keys of routers' entries begin with this; the VM's name follows.
-const MEMBERS_PREFIX: &str = "peridotslip/members/";
 /// Longest wait of a watch, in milliseconds.
 const WATCH_MS: u64 = 10_000;
 /// Pause between two watches of the servers, whose entries change all the
@@ -287,7 +284,7 @@
     }
 
     fn prefix(&self) -> &str {
-        MEMBERS_PREFIX
+        registry::PREFIX
     }
 
     fn pause(&self) -> Duration {
@@ -296,14 +293,12 @@
 
     fn change(&mut self, change: Change) {
         match change {
-            Change::Put(item) => match serde_json::from_slice::<Entry>(&item.value) {
-                Ok(entry) => self.0.peers.insert(entry.member),
-                Err(err) => {
-                    log::warn!(key = item.key.as_str(); "a router's entry can't be read: {err}");
-                }
+            Change::Put(item) => match registry::decode(&item) {
+                Some(member) => self.0.peers.insert(member),
+                None => log::warn!(key = item.key.as_str(); "a router's entry can't be read"),
             },
             Change::Removed(key) => {
-                if let Some(vm) = key.strip_prefix(MEMBERS_PREFIX) {
+                if let Some(vm) = key.strip_prefix(registry::PREFIX) {
                     self.0.peers.remove(vm);
                 }
             }
@@ -322,33 +317,9 @@
     }
 }
 
-/// A router's entry as it is stored.
-#[derive(Serialize, Deserialize)]
-struct Entry {
-    member: Member,
-}
-
-/// Writes this router's entry until the store has it.
+/// Registers this router, after which it may spend.
 async fn register(shared: Arc<Shared>) {
-    let member = shared.peers.me().clone();
-    let key = format!("{MEMBERS_PREFIX}{}", member.vm);
-    let value = match serde_json::to_vec(&Entry { member }) {
-        Ok(value) => value,
-        Err(err) => {
-            log::error!("this router's entry can't be written: {err}");
-            return;
-        }
-    };
-    let mut backoff_ms = FIRST_BACKOFF_MS;
-    loop {
-        shared.metrics.store_call("put");
-        match shared.platform.store.put(&key, &value).await {
-            Ok(()) => return,
-            Err(err) => {
-                log::warn!(reason = err.to_string().as_str(); "this router could not be registered yet");
-                tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
-            }
-        }
-    }
+    let store = shared.platform.store.clone();
+    registry::register(store.as_ref(), shared.peers.me(), &shared.metrics).await;
+    shared.treasury.set_registered();
 }
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -84,6 +84,31 @@
         }
     }
 
+    /// The known runs of other routers.
+    pub(crate) fn incarnations(&self) -> Vec<Incarnation> {
+        let peers = self.lock();
+        peers.values().map(|peer| peer.member.incarnation).collect()
+    }
+
+    /// The router whose run this is, if it is known.
+    pub(crate) fn by_incarnation(&self, incarnation: Incarnation) -> Option<Member> {
+        let peers = self.lock();
+        let mut members = peers.values().map(|peer| &peer.member);
+        members
+            .find(|member| member.incarnation == incarnation)
+            .cloned()
+    }
+
+    /// The VM whose router answers peers at `address`.
+    pub(crate) fn vm_at(&self, address: &str) -> Option<String> {
+        let peers = self.lock();
+        let mut members = peers.values().map(|peer| &peer.member);
+        let other = members.find(|member| member.address == address);
+        other
+            .or_else(|| Some(&self.me).filter(|me| me.address == address))
+            .map(|member| member.vm.clone())
+    }
+
     /// How many routers the fleet has, those that don't answer included.
     pub(crate) fn fleet_size(&self) -> usize {
         self.lock().len() + 1
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -136,6 +136,7 @@
 enum Answer {
     Verdict(Verdict),
     Voucher(Option<Voucher>),
+    Ceiling(Option<u64>),
     Done(bool),
 }
 
@@ -163,6 +164,17 @@
             shared.treasury.take(vouchers);
             Answer::Done(true)
         }
+        Ask::Witness {
+            witness,
+            holder,
+            budget,
+            ceiling,
+        } => Answer::Done(shared.treasury.note_for(witness, holder, budget, ceiling)),
+        Ask::Ceiling {
+            witness,
+            holder,
+            budget,
+        } => Answer::Ceiling(shared.treasury.ceiling_of(witness, holder, &budget)),
         Ask::Probe => Answer::Done(!shared.is_stopping()),
     }
 }
--- /dev/null
+++ b/crates/peridotslip-edge/src/treasury/account.rs
@@ -0,0 +1,58 @@
+//! One organisation's budget at this router.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    time::Instant,
+};
+
+use peridotslip::{
+    ids::{BudgetName, OrganisationName},
+    ledger::{GrantReply, Wallet},
+};
+use tokio::sync::Notify;
+
+use crate::peers::Member;
+
+/// One organisation's budget at this router.
+pub(super) struct Account {
+    pub(super) organisation: OrganisationName,
+    pub(super) key: String,
+    /// Whether the last exchange with the store failed.
+    pub(super) cut_off: AtomicBool,
+    /// When other routers were last asked for tokens.
+    pub(super) borrowed_at: tokio::sync::Mutex<Option<Instant>>,
+    pub(super) budget: BudgetName,
+    pub(super) state: Mutex<State>,
+    /// The routers that note ceilings.
+    pub(super) witnesses: Mutex<Vec<Member>>,
+    /// Held while a ceiling is being raised.
+    pub(super) raising: tokio::sync::Mutex<()>,
+    /// Wakes the task that exchanges reports with the record.
+    pub(super) refill: Notify,
+    /// Wakes requests that wait for tokens.
+    pub(super) refilled: Notify,
+}
+
+/// What changes of an account.
+pub(super) struct State {
+    pub(super) wallet: Wallet,
+    /// What the record last said, and how many replies there were.
+    pub(super) reply: Option<GrantReply>,
+    pub(super) replies: u64,
+}
+
+impl Account {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Whether what was paid certainly doesn't cover `tokens`: nobody else
+    /// holds any of it, and requests that are running use up to their bounds.
+    pub(super) fn exhausted(&self, budget: &BudgetName, tokens: u64) -> bool {
+        self.reply.as_ref().is_some_and(|reply| {
+            reply.held_by_others == 0 && reply.free + self.wallet.spendable(budget) < tokens
+        })
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/treasury/lending.rs
@@ -0,0 +1,109 @@
+//! Passing tokens between routers while the store is away or a router leaves.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use peridotslip::{ids::OrganisationName, ledger::Voucher};
+
+use super::{ASK_SLACK_MS, Account, Ask, Treasury, lock, send};
+use crate::peers::Member;
+
+/// Shortest time between two rounds of borrowing for one organisation, in
+/// milliseconds.
+const BORROW_PAUSE_MS: u64 = 300;
+/// A round of borrowing asks for this part of what was paid beyond the need.
+const BORROW_DIVISOR: u64 = 20;
+/// Routers asked in one round of borrowing.
+const MAX_LENDERS: usize = 8;
+
+impl Treasury {
+    /// Asks other routers for tokens that they hold, while the store can't
+    /// grant any. Returns whether there are enough now.
+    pub(super) async fn borrow(&self, account: &Account, paid: u64, tokens: u64) -> bool {
+        let mut borrowed_at = account.borrowed_at.lock().await;
+        let enough = || account.lock().wallet.spendable(&account.budget) >= tokens;
+        let pause = Duration::from_millis(BORROW_PAUSE_MS);
+        if enough() {
+            return true;
+        }
+        if borrowed_at.is_some_and(|at| at.elapsed() < pause) {
+            return false;
+        }
+        *borrowed_at = Some(Instant::now());
+        let ask = Ask::Lend {
+            organisation: account.organisation.clone(),
+            tokens: tokens + paid / BORROW_DIVISOR,
+        };
+        let lenders = self.peers.ranked(account.organisation.as_str(), false);
+        for lender in lenders.into_iter().take(MAX_LENDERS) {
+            let timeout = Duration::from_millis(ASK_SLACK_MS);
+            let answer: crate::rpc::Result<Option<Voucher>> =
+                self.peers.ask(&lender, &ask, timeout).await;
+            if let Ok(Some(voucher)) = answer {
+                log::info!(budget = account.budget.as_str(), lender = lender.vm.as_str(), tokens = voucher.tokens; "tokens borrowed while the store is away");
+                account.lock().wallet.borrow(voucher);
+            }
+            if enough() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Hands tokens over to another router.
+    pub(crate) fn lend(&self, organisation: &OrganisationName, tokens: u64) -> Option<Voucher> {
+        let account = lock(&self.accounts).get(organisation).cloned()?;
+        let home = self.is_home(organisation);
+        let mut state = account.lock();
+        let tokens = if home {
+            tokens.min(state.wallet.spendable(&account.budget) / 2)
+        } else {
+            u64::MAX
+        };
+        state.wallet.lend(&account.budget, tokens)
+    }
+
+    /// Takes over tokens of another router.
+    pub(crate) fn take(self: &Arc<Self>, vouchers: Vec<(OrganisationName, Voucher)>) {
+        for (organisation, voucher) in vouchers {
+            let account = self.account(&organisation);
+            let tokens = voucher.tokens;
+            if account.lock().wallet.borrow(voucher) {
+                log::info!(budget = account.budget.as_str(), tokens; "tokens taken over from a router that leaves");
+            }
+        }
+    }
+
+    /// Hands everything that can be spent over to the next homes.
+    pub(super) async fn hand_over(self: &Arc<Self>) {
+        let accounts: Vec<_> = lock(&self.accounts).values().cloned().collect();
+        let mut groups: HashMap<String, (Member, Vec<(OrganisationName, Voucher)>)> =
+            HashMap::new();
+        for account in accounts {
+            let ranked = self.peers.ranked(account.organisation.as_str(), false);
+            let Some(home) = ranked.into_iter().next() else {
+                continue;
+            };
+            if let Some(voucher) = account.lock().wallet.lend(&account.budget, u64::MAX) {
+                let group = groups
+                    .entry(home.vm.clone())
+                    .or_insert_with(|| (home, Vec::new()));
+                group.1.push((account.organisation.clone(), voucher));
+            }
+        }
+        for (home, vouchers) in groups.into_values() {
+            let tokens: u64 = vouchers.iter().map(|(_, voucher)| voucher.tokens).sum();
+            log::info!(home = home.vm.as_str(), tokens; "handing tokens over");
+            send(&self.peers, &home, &Ask::Take(vouchers)).await;
+        }
+    }
+
+    /// Stops being home to any budget, and hands over what can be spent.
+    pub(crate) async fn leave(self: &Arc<Self>) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.hand_over().await;
+    }
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -0,0 +1,63 @@
+//! What routers ask each other about money.
+
+use peridotslip::{
+    ids::{BudgetName, Incarnation, OrganisationName},
+    ledger::Voucher,
+};
+use serde::{Deserialize, Serialize};
+
+/// Names a reservation of one router at another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct Ticket {
+    pub(super) holder: Incarnation,
+    pub(super) number: u64,
+}
+
+/// What routers ask each other about money.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Ask {
+    /// Set tokens aside.
+    Reserve {
+        organisation: OrganisationName,
+        paid: u64,
+        tokens: u64,
+        ticket: Ticket,
+    },
+    /// End reservations, each with the tokens used.
+    Settle(Vec<(Ticket, u64)>),
+    /// Hand over tokens that the store can't grant now.
+    Lend {
+        organisation: OrganisationName,
+        tokens: u64,
+    },
+    /// Take over tokens of a router that leaves.
+    Take(Vec<(OrganisationName, Voucher)>),
+    /// Note that a router may use so much of its grant over its life.
+    Witness {
+        witness: Incarnation,
+        holder: Incarnation,
+        budget: BudgetName,
+        ceiling: u64,
+    },
+    /// What was noted of a router that has died?
+    Ceiling {
+        witness: Incarnation,
+        holder: Incarnation,
+        budget: BudgetName,
+    },
+    /// Are you there?
+    Probe,
+}
+
+/// Answers to [`Ask::Reserve`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Verdict {
+    /// The tokens are set aside.
+    Held,
+    /// What was paid does not cover the request.
+    Exhausted,
+    /// The tokens can't be had now.
+    Short,
+    /// The router is leaving; ask the next.
+    Leaving,
+}
--- /dev/null
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -0,0 +1,252 @@
+//! Ceilings on what routers use of their grants, noted by other routers, so
+//! that the rest of a dead router's grant can be freed.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::Duration,
+};
+
+use peridotslip::{
+    ids::{BudgetName, Incarnation},
+    ledger::Holder,
+};
+use tokio::task::JoinSet;
+
+use super::{ASK_SLACK_MS, Account, Ask, Treasury, exchange::Known, lock};
+use crate::{peers::Member, ports::Swap, registry, rpc};
+
+/// Witnesses of one budget. One suffices to go on; all are needed to free
+/// what a dead router held.
+const WITNESSES: usize = 3;
+/// How much spending a ceiling is raised ahead for, in milliseconds.
+const AHEAD_MS: u64 = 600;
+/// A ceiling is raised by at least this part of what was paid.
+const MIN_STEP_DIVISOR: u64 = 500;
+
+impl Treasury {
+    /// Chooses routers that note ceilings, if there are none or one of them
+    /// has lost its memory, and names them with the next report.
+    pub(super) async fn choose_witnesses(&self, account: &Account) {
+        let chosen = lock(&account.witnesses).clone();
+        if !chosen.is_empty() && !self.lost_memory(&chosen) {
+            return;
+        }
+        let ranked = self.peers.ranked(account.organisation.as_str(), false);
+        let chosen: Vec<Member> = ranked.into_iter().take(WITNESSES).collect();
+        if chosen.is_empty() {
+            return;
+        }
+        let _raising = account.raising.lock().await;
+        let (used, _) = account.lock().wallet.used_at_most(&account.budget);
+        let ceiling = used + self.step(account);
+        if !self.note(account, &chosen, ceiling).await {
+            return;
+        }
+        let incarnations = chosen.iter().map(|member| member.incarnation).collect();
+        let mut state = account.lock();
+        let (used, _) = state.wallet.used_at_most(&account.budget);
+        if used > ceiling {
+            return;
+        }
+        state.wallet.set_ceiling(&account.budget, Some(ceiling));
+        state.wallet.set_witnesses(incarnations);
+        drop(state);
+        *lock(&account.witnesses) = chosen;
+    }
+
+    /// Whether one of `witnesses` has started anew, so that nothing can be
+    /// freed on their word any more.
+    fn lost_memory(&self, witnesses: &[Member]) -> bool {
+        let running: HashSet<Incarnation> = self.peers.incarnations().into_iter().collect();
+        witnesses
+            .iter()
+            .any(|witness| !running.contains(&witness.incarnation))
+    }
+
+    fn step(&self, account: &Account) -> u64 {
+        let state = account.lock();
+        let ahead = state.wallet.rate(&account.budget) * AHEAD_MS / 1_000;
+        let paid = state.reply.as_ref().map_or(0, |reply| reply.paid);
+        ahead.max(paid / MIN_STEP_DIVISOR)
+    }
+
+    /// Raises the ceiling to at least `needed`. Returns whether that much may
+    /// be used now.
+    pub(super) async fn raise(&self, account: &Account, needed: u64) -> bool {
+        let _raising = account.raising.lock().await;
+        let (used, ceiling) = account.lock().wallet.used_at_most(&account.budget);
+        if ceiling.is_none_or(|ceiling| ceiling >= needed) {
+            return true;
+        }
+        let witnesses = lock(&account.witnesses).clone();
+        if self.lost_memory(&witnesses) {
+            account.lock().wallet.set_ceiling(&account.budget, None);
+            return true;
+        }
+        let target = needed.max(used) + self.step(account);
+        let noted = self.note(account, &witnesses, target).await;
+        if noted {
+            account
+                .lock()
+                .wallet
+                .raise_ceiling(&account.budget, target);
+        } else {
+            log::warn!(budget = account.budget.as_str(), needed; "no witness notes the ceiling");
+        }
+        noted
+    }
+
+    /// Raises the ceiling in the background if it is nearly reached.
+    pub(super) fn raise_ahead(self: &Arc<Self>, account: &Arc<Account>) {
+        let (used, ceiling) = account.lock().wallet.used_at_most(&account.budget);
+        let Some(ceiling) = ceiling else {
+            return;
+        };
+        let needed = used + self.step(account) / 2;
+        if needed <= ceiling || account.raising.try_lock().is_err() {
+            return;
+        }
+        let (treasury, account) = (self.clone(), account.clone());
+        tokio::spawn(async move { treasury.raise(&account, needed).await });
+    }
+
+    /// Asks `witnesses` to note a ceiling; waits for the first that does.
+    async fn note(&self, account: &Account, witnesses: &[Member], ceiling: u64) -> bool {
+        let mut asks = JoinSet::new();
+        for witness in witnesses {
+            let ask = Ask::Witness {
+                witness: witness.incarnation,
+                holder: self.peers.me().incarnation,
+                budget: account.budget.clone(),
+                ceiling,
+            };
+            let (peers, witness) = (self.peers.clone(), witness.clone());
+            asks.spawn(async move {
+                let timeout = Duration::from_millis(ASK_SLACK_MS);
+                let noted: rpc::Result<bool> = peers.ask(&witness, &ask, timeout).await;
+                noted == Ok(true)
+            });
+        }
+        while let Some(noted) = asks.join_next().await {
+            if matches!(noted, Ok(true)) {
+                asks.detach_all();
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Notes a ceiling for another router. `false` if this is not the run
+    /// that was asked, or the router has been declared dead.
+    pub(crate) fn note_for(
+        &self,
+        witness: Incarnation,
+        holder: Incarnation,
+        budget: BudgetName,
+        ceiling: u64,
+    ) -> bool {
+        witness == self.peers.me().incarnation
+            && lock(&self.ceilings).raise(holder, budget, ceiling)
+    }
+
+    /// Tells what was noted for a dead router, and notes no more for it.
+    pub(crate) fn ceiling_of(
+        &self,
+        witness: Incarnation,
+        holder: Incarnation,
+        budget: &BudgetName,
+    ) -> Option<u64> {
+        let me = self.peers.me().incarnation;
+        (witness == me).then(|| lock(&self.ceilings).close(holder, budget))
+    }
+
+    /// Frees what routers that have died held of a budget, as far as their
+    /// witnesses bound it. Only the home does this.
+    pub(super) async fn release_dead(&self, account: &Account, known: &mut Known) {
+        if !self.is_home(&account.organisation) {
+            return;
+        }
+        let Some((revision, record)) = known.as_ref() else {
+            return;
+        };
+        let running = self.peers.incarnations();
+        let me = self.peers.me().incarnation;
+        let silent = record
+            .holders(&account.budget)
+            .into_iter()
+            .find(|holder| holder.incarnation != me && !running.contains(&holder.incarnation));
+        let Some(holder) = silent else {
+            return;
+        };
+        let Some(ceiling) = self.ceiling(account, &holder).await else {
+            return;
+        };
+        let (revision, mut next) = (*revision, record.clone());
+        let freed = next.cap(holder.incarnation, &account.budget, ceiling);
+        if freed == 0 {
+            return;
+        }
+        self.metrics.store_call("swap");
+        match self.store.swap(&account.key, revision, &next.encode()).await {
+            Ok(Swap::Done(revision)) => {
+                let dead = holder.incarnation.to_string();
+                log::info!(budget = account.budget.as_str(), dead = dead.as_str(), tokens = freed, ceiling; "tokens of a dead router are free again");
+                *known = Some((revision, next));
+                account.refill.notify_one();
+            }
+            Ok(Swap::Conflict(_)) => *known = None,
+            Err(err) => {
+                *known = None;
+                log::warn!(budget = account.budget.as_str(), reason = err.to_string().as_str(); "tokens of a dead router could not be freed yet");
+            }
+        }
+    }
+
+    /// The most that a holder used, if it is certainly dead and every witness
+    /// tells.
+    async fn ceiling(&self, account: &Account, holder: &Holder) -> Option<u64> {
+        if holder.witnesses.is_empty() {
+            return None;
+        }
+        // A holder writes its entry before it first writes a record, and only
+        // a later process on its VM replaces the entry. The entry is read
+        // after the record, so another run there proves the holder dead.
+        let vm = self.peers.vm_at(&holder.address)?;
+        let entry = registry::read(self.store.as_ref(), &vm).await?;
+        if entry.incarnation == holder.incarnation {
+            return None;
+        }
+        let mut highest = 0;
+        for witness in &holder.witnesses {
+            let told = self.ask_ceiling(*witness, account, holder).await?;
+            highest = highest.max(told);
+        }
+        Some(highest)
+    }
+
+    async fn ask_ceiling(
+        &self,
+        witness: Incarnation,
+        account: &Account,
+        holder: &Holder,
+    ) -> Option<u64> {
+        if witness == self.peers.me().incarnation {
+            return self.ceiling_of(witness, holder.incarnation, &account.budget);
+        }
+        let member = self.peers.by_incarnation(witness)?;
+        let ask = Ask::Ceiling {
+            witness,
+            holder: holder.incarnation,
+            budget: account.budget.clone(),
+        };
+        let timeout = Duration::from_millis(ASK_SLACK_MS);
+        let told: rpc::Result<Option<u64>> = self.peers.ask(&member, &ask, timeout).await;
+        told.ok().flatten()
+    }
+
+    /// The store has this router's entry, so that records may name it.
+    pub(crate) fn set_registered(&self) {
+        self.registered.set();
+    }
+}
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -17,12 +17,14 @@
 use quick_error::quick_error;
 
 mod account;
+mod ceiling;
 mod record;
 mod report;
 mod wallet;
 
 pub use self::account::{Account, Grant};
-pub use self::record::{KeyEntry, KeyState, ShardRecord};
+pub use self::ceiling::Ceilings;
+pub use self::record::{Holder, KeyEntry, KeyState, ShardRecord};
 pub use self::report::{
     Bill, BudgetReport, Claim, ClaimVerdict, GrantReply, Outcome, Report, ReportReply, Settlement,
     Verdict, Voucher,
--- /dev/null
+++ b/crates/peridotslip/src/ledger/ceiling.rs
@@ -0,0 +1,41 @@
+//! Bounds on what a wallet has used, kept by other routers.
+//!
+//! What a router that dies had spent of its grant is not known, so the whole
+//! grant would count as spent for good. A wallet with witnesses therefore uses
+//! its grant only up to a ceiling that at least one of them has noted, and the
+//! record names them. Once the router is certainly dead, and if every witness
+//! still has its memory, the highest ceiling noted bounds what was used, and
+//! the rest is free again ([`ShardRecord::cap`](super::ShardRecord::cap)).
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{BudgetName, Incarnation};
+
+/// What one router has noted for others.
+#[derive(Clone, Debug, Default)]
+pub struct Ceilings {
+    noted: BTreeMap<(Incarnation, BudgetName), u64>,
+    closed: BTreeSet<(Incarnation, BudgetName)>,
+}
+
+impl Ceilings {
+    /// Notes a ceiling; it never falls. `false` if the holder has been
+    /// declared dead.
+    pub fn raise(&mut self, holder: Incarnation, budget: BudgetName, tokens: u64) -> bool {
+        let key = (holder, budget);
+        if self.closed.contains(&key) {
+            return false;
+        }
+        let noted = self.noted.entry(key).or_default();
+        *noted = tokens.max(*noted);
+        true
+    }
+
+    /// The highest ceiling noted, 0 if there is none. None is noted any more.
+    pub fn close(&mut self, holder: Incarnation, budget: &BudgetName) -> u64 {
+        let key = (holder, budget.clone());
+        let noted = self.noted.get(&key).copied().unwrap_or(0);
+        self.closed.insert(key);
+        noted
+    }
+}
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -93,6 +93,21 @@
     address: String,
     /// Since when the incarnation is closed.
     closed_at_ms: Option<u64>,
+    /// Who notes its ceilings; empty if nobody does.
+    witnesses: Vec<Incarnation>,
+}
+
+/// An incarnation that holds a grant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// Where it ran.
+    pub address: String,
+    /// Tokens that it holds or owes a settlement for.
+    pub outstanding: u64,
+    /// Who notes its ceilings; empty if nobody does.
+    pub witnesses: Vec<Incarnation>,
 }
 
 impl Applied {
@@ -189,6 +204,9 @@
         if !report.address.is_empty() && applied.address != report.address {
             applied.address.clone_from(&report.address);
         }
+        if !report.witnesses.is_empty() {
+            applied.witnesses.clone_from(&report.witnesses);
+        }
         let closed = applied.closed_at_ms.is_some();
         let settled = report
             .settlements
@@ -233,6 +251,42 @@
         applied.closed_at_ms.get_or_insert(now_ms);
     }
 
+    /// Those that hold a part of `budget`.
+    #[must_use]
+    pub fn holders(&self, budget: &BudgetName) -> Vec<Holder> {
+        let grants = self.accounts.get(budget).map(|account| &account.grants);
+        grants
+            .into_iter()
+            .flatten()
+            .filter(|(_, grant)| grant.outstanding() > 0)
+            .map(|(incarnation, grant)| {
+                let applied = self.incarnations.get(incarnation);
+                Holder {
+                    incarnation: *incarnation,
+                    address: applied.map_or_else(String::new, |applied| applied.address.clone()),
+                    outstanding: grant.outstanding(),
+                    witnesses: applied.map_or_else(Vec::new, |applied| applied.witnesses.clone()),
+                }
+            })
+            .collect()
+    }
+
+    /// Frees what a dead incarnation can't have used, `ceiling` being the most
+    /// it used of its grant over its whole life. Returns the tokens freed.
+    ///
+    /// Call this only when the process has certainly ended and every witness
+    /// that the record names has told its ceiling.
+    pub fn cap(&mut self, incarnation: Incarnation, budget: &BudgetName, ceiling: u64) -> u64 {
+        let account = self.accounts.get_mut(budget);
+        let Some(grant) = account.and_then(|account| account.grants.get_mut(&incarnation)) else {
+            return 0;
+        };
+        let before = grant.outstanding();
+        let unused = grant.granted.saturating_sub(ceiling.max(grant.used));
+        grant.returned = grant.returned.max(unused);
+        before - grant.outstanding()
+    }
+
     /// Whether two records differ at most in the clock they have seen.
     #[must_use]
     pub fn same_content(&self, other: &Self) -> bool {
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -117,6 +117,9 @@
     pub claims: Vec<Claim>,
     /// Whether the incarnation has stopped for good.
     pub closed: bool,
+    /// The routers that note ceilings for the reporter from now on; empty if
+    /// nothing changes.
+    pub witnesses: Vec<Incarnation>,
 }
 
 impl Report {
@@ -126,6 +129,7 @@
         self.budgets.is_empty()
             && self.settlements.is_empty()
             && self.claims.is_empty()
+            && self.witnesses.is_empty()
             && !self.closed
     }
 }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -79,6 +79,9 @@
     Held(Reservation),
     /// The wallet holds too little; the next report asks for more.
     Short,
+    /// The wallet must not use so much before a witness has noted this
+    /// ceiling, in tokens used over the wallet's life.
+    Unwitnessed(u64),
 }
 
 /// A wallet's share of one budget. Cumulative tokens, but for `reserved`.
@@ -89,6 +92,9 @@
     returned: u64,
     spent: u64,
     reserved: u64,
+    /// Most that may be used of the grant over the wallet's life; `None` if
+    /// nobody bounds it.
+    ceiling: Option<u64>,
     /// Vouchers of other wallets that are in use.
     vouchers: Vec<Borrowed>,
     /// Tokens that waiting requests lack, in all and for the smallest.
@@ -142,6 +148,12 @@
         self.own_left() - needed.min(self.own_left())
     }
 
+    /// Most that has been used of the grant over the wallet's life, running
+    /// requests included. Vouchers may have paid for a part of these.
+    fn used_at_most(&self) -> u64 {
+        self.spent + self.reserved
+    }
+
     /// Spends out of vouchers as far as they reach and returns the rest.
     fn spend_borrowed(&mut self, tokens: u64) -> u64 {
         let mut rest = tokens;
@@ -282,6 +294,8 @@
     outbox: BTreeMap<u64, Settlement>,
     /// Settlements of other wallets' vouchers that no reply has confirmed.
     borrowed_outbox: BTreeMap<(Incarnation, u64), Settlement>,
+    /// Routers that note ceilings, until a reply has come.
+    witnesses: Vec<Incarnation>,
     /// Vouchers that have been taken in, so that none counts twice.
     seen_vouchers: HashSet<(Incarnation, u64)>,
     claims: BTreeMap<(RequestKey, u64), Claim>,
@@ -301,6 +315,7 @@
             purses: HashMap::new(),
             outbox: BTreeMap::new(),
             borrowed_outbox: BTreeMap::new(),
+            witnesses: Vec::new(),
             seen_vouchers: HashSet::new(),
             claims: BTreeMap::new(),
             last_seq: 0,
@@ -343,6 +358,10 @@
             purse.lack(tokens);
             return Reserve::Short;
         }
+        let used = purse.used_at_most() + tokens;
+        if purse.ceiling.is_some_and(|ceiling| used > ceiling) {
+            return Reserve::Unwitnessed(used);
+        }
         purse.reserved += tokens;
         Reserve::Held(Reservation {
             budget: budget.clone(),
@@ -374,7 +393,10 @@
     /// and not needed, for another wallet to spend.
     pub fn lend(&mut self, budget: &BudgetName, tokens: u64) -> Option<Voucher> {
         let purse = self.purses.get_mut(budget)?;
-        let tokens = tokens.min(purse.own_spare());
+        let room = purse
+            .ceiling
+            .map_or(u64::MAX, |ceiling| ceiling.saturating_sub(purse.used_at_most()));
+        let tokens = tokens.min(purse.own_spare()).min(room);
         if tokens == 0 {
             return None;
         }
@@ -434,6 +456,41 @@
         }
     }
 
+    /// Bounds what may be used of `budget`, or lifts a bound.
+    pub fn set_ceiling(&mut self, budget: &BudgetName, ceiling: Option<u64>) {
+        let purse = self.purses.entry(budget.clone()).or_default();
+        purse.ceiling = ceiling;
+    }
+
+    /// Allows more of `budget` to be used, because a witness has noted it.
+    pub fn raise_ceiling(&mut self, budget: &BudgetName, ceiling: u64) {
+        if let Some(purse) = self.purses.get_mut(budget) {
+            purse.ceiling = purse.ceiling.map(|held| held.max(ceiling));
+        }
+    }
+
+    /// Most that has been used of the grant of `budget` over the wallet's
+    /// life, and the bound on it.
+    #[must_use]
+    pub fn used_at_most(&self, budget: &BudgetName) -> (u64, Option<u64>) {
+        let purse = self.purses.get(budget);
+        purse.map_or((0, None), |purse| (purse.used_at_most(), purse.ceiling))
+    }
+
+    /// Tokens of `budget` that are spent in a second at present.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn rate(&self, budget: &BudgetName) -> u64 {
+        let purse = self.purses.get(budget);
+        purse.map_or(0, |purse| purse.unbiased_rate() as u64)
+    }
+
+    /// Names the routers that note ceilings, with the next reports until a
+    /// reply has come.
+    pub fn set_witnesses(&mut self, witnesses: Vec<Incarnation>) {
+        self.witnesses = witnesses;
+    }
+
     /// Tokens that waiting requests of `budget` lack.
     #[must_use]
     pub fn lacking(&self, budget: &BudgetName) -> u64 {
@@ -584,6 +641,7 @@
             settlements: self.outbox.values().cloned().collect(),
             claims: self.claims.values().copied().collect(),
             closed: self.closing && !self.closed,
+            witnesses: self.witnesses.clone(),
         }
     }
 
@@ -614,6 +672,9 @@
             .copied()
             .collect();
         self.closed |= reply.closed;
+        if reply.incarnation == self.incarnation {
+            self.witnesses.clear();
+        }
         Accepted { settled, claims }
     }
 }
