--- a/crates/peridotslip-edge/src/front.rs
+++ b/crates/peridotslip-edge/src/front.rs
@@ -118,24 +118,31 @@
     };
     let id = cx.id().to_owned();
     let version = cx.index.version();
-    let outcome = match read_body(&mut cx, body).await {
-        Ok(()) => match chain.apply(&mut cx).await {
-            Ok(()) => dispatch::run(cx).await,
-            Err(refused) => Err(refused),
-        },
+    let passed = match read_body(&mut cx, body).await {
+        Ok(()) => chain.apply(&mut cx).await,
         Err(refused) => Err(refused),
     };
+    let route = cx.route.clone();
+    let organisation = cx.organisation.clone();
+    let outcome = match passed {
+        Ok(()) => dispatch::run(cx).await,
+        Err(refused) => Err(refused),
+    };
+    let route = route.as_ref().map_or("", |route| route.name.as_str());
+    let organisation = organisation
+        .as_ref()
+        .map_or("", |organisation| organisation.name.as_str());
     let ms = arrived.elapsed().as_millis();
     let mut response = match outcome {
         Ok(response) => {
             let status = response.status().as_u16();
-            log::info!(id = id.as_str(), status, version, ms; "request answered");
+            log::info!(id = id.as_str(), route, organisation, status, version, ms; "request answered");
             response
         }
         Err(refused) => {
             let reason = refused.reason.as_str();
             let status = refused.reason.status().as_u16();
-            log::info!(id = id.as_str(), status, reason, version, ms; "request refused");
+            log::info!(id = id.as_str(), route, organisation, status, reason, version, ms; "request refused");
             shared.metrics.refused(refused.reason);
             refuse(refused)
         }
