--- a/crates/peridotslip-edge/src/filters/reserve.rs
+++ b/crates/peridotslip-edge/src/filters/reserve.rs
@@ -36,7 +36,7 @@
                 Ok(())
             }
             Err(Denied::Exhausted) => Err(Refused::new(Reason::Exhausted)),
-            Err(Denied::Short) => {
+            Err(Denied::Short | Denied::CutOff) => {
                 let after_ms = cx.shared.settings().timing.retry_after_ms;
                 Err(Refused::after(Reason::TokensShort, after_ms))
             }
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -42,6 +42,11 @@
 
 /// Keys of ledger records begin with this; the organisation's name follows.
 const LEDGER_PREFIX: &str = "peridotslip/ledger/";
+/// How long the grants of a router that stands in for a home last, in
+/// milliseconds.
+const DEPUTY_HORIZON_MS: u64 = 2_000;
+/// Most of what is unspent that a stand-in holds, in percent.
+const DEPUTY_PERCENT: u8 = 10;
 /// Most of what is free at the record that a home takes at once, in percent;
 /// what it may hold in all is a setting.
 const WISH_PERCENT: u8 = 100;
@@ -50,6 +55,9 @@
 const FLOOR_PERCENT: u8 = 15;
 /// What a peer's answer may take beyond the home's wait, in milliseconds.
 const ASK_SLACK_MS: u64 = 150;
+/// How long a record's word that nothing is free is taken as it is, in
+/// milliseconds: settlements free tokens at the pace of reports.
+const REPLY_AGE_MS: u64 = 700;
 /// Homes tried for one reservation.
 const MAX_HOMES: usize = 3;
 /// Time between two groups of settlements to homes, in milliseconds.
@@ -67,6 +75,18 @@
     Exhausted,
     /// The tokens can't be had now, but may be later.
     Short,
+    /// The tokens can't be had here, because the store is out of reach.
+    CutOff,
+}
+
+impl From<Denied> for Verdict {
+    fn from(denied: Denied) -> Self {
+        match denied {
+            Denied::Exhausted => Self::Exhausted,
+            Denied::Short => Self::Short,
+            Denied::CutOff => Self::Elsewhere,
+        }
+    }
 }
 
 /// What came of asking a wallet.
@@ -142,8 +162,7 @@
                     Ok(reservation) => {
                         return Ok(self.held(Place::Here(organisation.clone(), reservation)));
                     }
-                    Err(Denied::Exhausted) => Verdict::Exhausted,
-                    Err(Denied::Short) => Verdict::Short,
+                    Err(denied) => denied.into(),
                 }
             } else {
                 let ticket = Ticket {
@@ -164,7 +183,7 @@
             };
             match verdict {
                 Verdict::Exhausted => return Err(Denied::Exhausted),
-                Verdict::Leaving => {}
+                Verdict::Elsewhere => {}
                 Verdict::Held | Verdict::Short => return Err(Denied::Short),
             }
         }
@@ -206,15 +225,14 @@
         ticket: Ticket,
     ) -> Verdict {
         if self.leaving.load(Ordering::Relaxed) {
-            return Verdict::Leaving;
+            return Verdict::Elsewhere;
         }
         match self.reserve_here(&organisation, paid, tokens).await {
             Ok(reservation) => {
                 lock(&self.tickets).insert(ticket, (organisation, reservation, Instant::now()));
                 Verdict::Held
             }
-            Err(Denied::Exhausted) => Verdict::Exhausted,
-            Err(Denied::Short) => Verdict::Short,
+            Err(denied) => denied.into(),
         }
     }
 
@@ -255,7 +273,7 @@
         first && !self.leaving.load(Ordering::Relaxed)
     }
 
-    /// How much to ask for ahead of needs: nothing where another router is
+    /// How much to ask for ahead of needs: little where another router is
     /// home, so that what it lacks is not held here.
     fn forecast(&self, organisation: &OrganisationName) -> Forecast {
         if self.is_home(organisation) {
@@ -266,11 +284,12 @@
                 most_percent: self.settings.most_percent,
             }
         } else {
+            let leaving = self.leaving.load(Ordering::Relaxed);
             Forecast {
-                horizon_ms: 0,
-                share_percent: 0,
+                horizon_ms: if leaving { 0 } else { DEPUTY_HORIZON_MS },
+                share_percent: DEPUTY_PERCENT,
                 floor_percent: 0,
-                most_percent: 0,
+                most_percent: DEPUTY_PERCENT,
             }
         }
     }
@@ -296,6 +315,7 @@
                 wallet,
                 reply: None,
                 replies: 0,
+                replied_ms: 0,
             }),
             refill: Notify::new(),
             refilled: Notify::new(),
@@ -345,11 +365,12 @@
                     }
                     continue;
                 }
+                Tried::Short if self.is_hopeless(&account, tokens) => return Err(Denied::Short),
                 Tried::Short => account.refill.notify_one(),
             }
             let cut_off = account.cut_off.load(Ordering::Relaxed);
             if cut_off && !self.borrow(&account, paid, tokens).await {
-                return Err(Denied::Short);
+                return Err(Denied::CutOff);
             }
             if !cut_off && tokio::time::timeout_at(until, refilled).await.is_err() {
                 return Err(Denied::Short);
@@ -357,6 +378,16 @@
         }
     }
 
+    /// Whether the record said only just now that it has too few tokens, so
+    /// that waiting for another reply doesn't help.
+    fn is_hopeless(&self, account: &Account, tokens: u64) -> bool {
+        let state = account.lock();
+        let now_ms = self.clock.now_ms();
+        let fresh = now_ms < state.replied_ms + REPLY_AGE_MS;
+        let free = state.reply.as_ref().map_or(u64::MAX, |reply| reply.free);
+        fresh && free.saturating_add(state.wallet.spendable(&account.budget)) < tokens
+    }
+
     /// Sets tokens aside if they are at hand. `replies` is how many replies of
     /// the record had come when the request did: only a later one shows that
     /// nothing is left.
--- a/crates/peridotslip-edge/src/treasury/account.rs
+++ b/crates/peridotslip-edge/src/treasury/account.rs
@@ -39,6 +39,8 @@
     /// What the record last said, and how many replies there were.
     pub(super) reply: Option<GrantReply>,
     pub(super) replies: u64,
+    /// When the last one came, in milliseconds.
+    pub(super) replied_ms: u64,
 }
 
 impl Account {
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -115,6 +115,7 @@
             );
             state.reply = Some(grant.clone());
             state.replies += 1;
+            state.replied_ms = self.clock.now_ms();
             drop(state);
             account.refilled.notify_waiters();
         }
--- a/crates/peridotslip-edge/src/treasury/messages.rs
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -58,6 +58,6 @@
     Exhausted,
     /// The tokens can't be had now.
     Short,
-    /// The router is leaving; ask the next.
-    Leaving,
+    /// The router is leaving or can't reach the store; ask the next.
+    Elsewhere,
 }
