--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -36,6 +36,7 @@
 struct Peer {
     member: Member,
     answers: bool,
+    leaving: bool,
 }
 
 /// The other routers of the fleet.
@@ -73,8 +74,12 @@
             return;
         }
         log::info!(peer = member.vm.as_str(), address = member.address.as_str(); "router joined");
-        let answers = true;
-        peers.insert(member.vm.clone(), Peer { member, answers });
+        let peer = Peer {
+            member: member.clone(),
+            answers: true,
+            leaving: false,
+        };
+        peers.insert(member.vm, peer);
     }
 
     /// Forgets an entry.
@@ -114,13 +119,23 @@
         self.lock().len() + 1
     }
 
-    /// The routers that answer, this one included if `with_me`, in the order
+    /// A router has said that it is about to end.
+    pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
+        let mut peers = self.lock();
+        let mut others = peers.values_mut();
+        if let Some(peer) = others.find(|peer| peer.member.incarnation == incarnation) {
+            peer.leaving = true;
+            log::info!(peer = peer.member.vm.as_str(); "router is leaving");
+        }
+    }
+
+    /// The routers that answer and stay, this one included if `with_me`, in the order
     /// in which they should take on `duty`.
     pub(crate) fn ranked(&self, duty: &str, with_me: bool) -> Vec<Member> {
         let mut ranked: Vec<Member> = self
             .lock()
             .values()
-            .filter(|peer| peer.answers)
+            .filter(|peer| peer.answers && !peer.leaving)
             .map(|peer| peer.member.clone())
             .collect();
         if with_me {
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -175,6 +175,10 @@
             holder,
             budget,
         } => Answer::Ceiling(shared.treasury.ceiling_of(witness, holder, &budget)),
+        Ask::Leaving { incarnation } => {
+            shared.peers.set_leaving(incarnation);
+            Answer::Done(true)
+        }
         Ask::Probe => Answer::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -100,6 +100,9 @@
     }
 
     fn accept(&self, account: &Account, report: &Report, reply: &ReportReply) {
+        if !report.witnesses.is_empty() {
+            Self::witnesses_named(account);
+        }
         let mut state = account.lock();
         state.wallet.accept(reply);
         if let Some(grant) = reply.grants.first() {
--- a/crates/peridotslip-edge/src/treasury/lending.rs
+++ b/crates/peridotslip-edge/src/treasury/lending.rs
@@ -105,5 +105,18 @@
     pub(crate) async fn leave(self: &Arc<Self>) {
         self.leaving.store(true, Ordering::Relaxed);
         self.hand_over().await;
+        let ask = Ask::Leaving {
+            incarnation: self.peers.me().incarnation,
+        };
+        for peer in self.peers.ranked("", false) {
+            let (peers, ask) = (self.peers.clone(), ask.clone());
+            tokio::spawn(async move {
+                let timeout = Duration::from_millis(ASK_SLACK_MS);
+                let told: crate::rpc::Result<bool> = peers.ask(&peer, &ask, timeout).await;
+                if let Err(err) = told {
+                    log::debug!("a router did not hear that this one leaves: {err}");
+                }
+            });
+        }
     }
 }
--- a/crates/peridotslip-edge/src/treasury/messages.rs
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -45,6 +45,8 @@
         holder: Incarnation,
         budget: BudgetName,
     },
+    /// This router is about to end.
+    Leaving { incarnation: Incarnation },
     /// Are you there?
     Probe,
 }
--- a/crates/peridotslip-edge/src/treasury/witness.rs
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -26,33 +26,46 @@
 
 impl Treasury {
     /// Chooses routers that note ceilings, if there are none or one of them
-    /// has lost its memory, and names them with the next report.
+    /// can't be counted on any more, and names them with the next report.
+    ///
+    /// Until the record names them, those that it names now must note every
+    /// ceiling as well.
     pub(super) async fn choose_witnesses(&self, account: &Account) {
-        let chosen = lock(&account.witnesses).clone();
-        if !chosen.is_empty() && !self.lost_memory(&chosen) {
+        let ranked = self.peers.ranked(account.organisation.as_str(), false);
+        let newest = lock(&account.witnesses).last().cloned();
+        let sound = |witness: &Member| ranked.contains(witness);
+        if newest.is_some_and(|newest| newest.iter().all(sound)) {
             return;
         }
-        let ranked = self.peers.ranked(account.organisation.as_str(), false);
         let chosen: Vec<Member> = ranked.into_iter().take(WITNESSES).collect();
         if chosen.is_empty() {
             return;
         }
         let _raising = account.raising.lock().await;
-        let (used, _) = account.lock().wallet.used_at_most(&account.budget);
-        let ceiling = used + self.step(account);
+        let (used, held) = account.lock().wallet.used_at_most(&account.budget);
+        let ceiling = held.unwrap_or(0).max(used + self.step(account));
         if !self.note(account, &chosen, ceiling).await {
             return;
         }
         let incarnations = chosen.iter().map(|member| member.incarnation).collect();
         let mut state = account.lock();
-        let (used, _) = state.wallet.used_at_most(&account.budget);
+        let (used, held) = state.wallet.used_at_most(&account.budget);
         if used > ceiling {
             return;
         }
+        // A ceiling that holds already may be lower than the one just noted.
+        let ceiling = held.unwrap_or(ceiling);
         state.wallet.set_ceiling(&account.budget, Some(ceiling));
         state.wallet.set_witnesses(incarnations);
         drop(state);
-        *lock(&account.witnesses) = chosen;
+        lock(&account.witnesses).push(chosen);
+    }
+
+    /// The record names the newest witnesses now.
+    pub(super) fn witnesses_named(account: &Account) {
+        let mut sets = lock(&account.witnesses);
+        let older = sets.len().saturating_sub(1);
+        sets.drain(..older);
     }
 
     /// Whether one of `witnesses` has started anew, so that nothing can be
@@ -79,13 +92,17 @@
         if ceiling.is_none_or(|ceiling| ceiling >= needed) {
             return true;
         }
-        let witnesses = lock(&account.witnesses).clone();
-        if self.lost_memory(&witnesses) {
+        let mut sets = lock(&account.witnesses).clone();
+        sets.retain(|witnesses| !self.lost_memory(witnesses));
+        if sets.is_empty() {
             account.lock().wallet.set_ceiling(&account.budget, None);
             return true;
         }
         let target = needed.max(used) + self.step(account);
-        let noted = self.note(account, &witnesses, target).await;
+        let mut noted = true;
+        for witnesses in &sets {
+            noted &= self.note(account, witnesses, target).await;
+        }
         if noted {
             account
                 .lock()
