--- a/crates/peridotslip-edge/src/filters/reserve.rs
+++ b/crates/peridotslip-edge/src/filters/reserve.rs
@@ -11,6 +11,10 @@
     treasury::Denied,
 };
 
+/// When to come back for tokens, in milliseconds: outages of the store last
+/// some seconds.
+const TOKENS_RETRY_MS: u64 = 2_000;
+
 pub(super) struct ReserveTokens;
 
 #[async_trait]
@@ -37,8 +41,7 @@
             }
             Err(Denied::Exhausted) => Err(Refused::new(Reason::Exhausted)),
             Err(Denied::Short | Denied::CutOff) => {
-                let after_ms = cx.shared.settings().timing.retry_after_ms;
-                Err(Refused::after(Reason::TokensShort, after_ms))
+                Err(Refused::after(Reason::TokensShort, TOKENS_RETRY_MS))
             }
         }
     }
