--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -40,8 +40,6 @@
 const SMOOTHING: f64 = 0.2;
 /// A server this many times slower than the median of its service is avoided.
 const SLOW_FACTOR: f64 = 2.5;
-/// Sessions with an equal first part share this part of the engines.
-const GROUP_DIVISOR: usize = 3;
 /// Prompt parts that a router remembers for each engine.
 const MAX_PARTS: usize = 512;
 
@@ -317,7 +315,13 @@
             .filter(|known| known.server.service == service)
             .filter(|known| !tried.contains(&known.server.id) && usable(known, now_ms))
             .collect();
-        let home = home(&candidates, demand).map(|known| known.server.id.clone());
+        let home = demand.affinity().and_then(|part| {
+            let key = format!("{part:016x}");
+            candidates
+                .iter()
+                .max_by_key(|known| rank(&key, &known.server.id))
+                .map(|known| known.server.id.clone())
+        });
         let median = median_first_byte(&candidates);
         let cost = |known: &Known| {
             let is_home = home.as_ref() == Some(&known.server.id);
@@ -428,21 +432,6 @@
     }
 }
 
-/// The engine at which a session's requests meet: one of the few that the
-/// first part of the prompt decides, so that a part which many sessions begin
-/// with is not read by every engine.
-fn home<'a>(candidates: &[&'a Known], demand: &Demand) -> Option<&'a Known> {
-    let key = |part: u64| format!("{part:016x}");
-    let first = key(demand.parts.first()?.0);
-    let session = key(demand.affinity()?);
-    let mut group: Vec<&Known> = candidates.to_vec();
-    group.sort_by_cached_key(|known| std::cmp::Reverse(rank(&first, &known.server.id)));
-    group.truncate(candidates.len().div_ceil(GROUP_DIVISOR));
-    group
-        .into_iter()
-        .max_by_key(|known| rank(&session, &known.server.id))
-}
-
 fn slow_penalty(first_byte_ms: f64, median_ms: Option<f64>) -> f64 {
     match median_ms {
         Some(median) if first_byte_ms > median * SLOW_FACTOR => first_byte_ms - median,
