--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use tokio::sync::watch;
 use peridotslip::forwarding::{Organisation, Placement, RetryBudget, Route, RoutingIndex};
 
 use crate::{
@@ -42,6 +43,9 @@
     pub(crate) placement: Mutex<Placement>,
     index: Mutex<Arc<RoutingIndex>>,
     retries: Mutex<HashMap<String, RetryBudget>>,
+    /// Counts the times that a feed lost the store, so that the others look
+    /// again.
+    pub(crate) store_doubts: watch::Sender<u64>,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_requests: AtomicUsize,
 }
@@ -67,6 +71,7 @@
             placement,
             index: Mutex::default(),
             retries: Mutex::default(),
+            store_doubts: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         }
--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -14,8 +14,14 @@
     ports::{Change, Item, StoreError},
 };
 
-/// Longest wait of a watch, in milliseconds.
-const WATCH_MS: u64 = 10_000;
+/// Wait of a watch whose keys rarely change, in milliseconds.
+const LONG_WATCH_MS: u64 = 10_000;
+/// Wait of a watch of the servers, in milliseconds. Their entries change all
+/// the time, so a watch that hears nothing shows that the store is away.
+const SERVERS_WATCH_MS: u64 = 1_000;
+/// Wait of a watch after a failed one, in milliseconds: a call that was sent
+/// while the store was away may stay unanswered after its return.
+const PROBE_WATCH_MS: u64 = 200;
 /// Pause between two watches of the servers, whose entries change all the
 /// time, in milliseconds. A server that leaves must be known to within the
 /// platform's drain time of 2 s.
@@ -40,6 +46,8 @@
     fn name(&self) -> &'static str;
     /// The prefix.
     fn prefix(&self) -> &str;
+    /// Wait of a watch.
+    fn wait(&self) -> Duration;
     /// Pause between two watches.
     fn pause(&self) -> Duration;
     /// Takes in one change.
@@ -56,6 +64,8 @@
     let mut revision = None;
     let mut backoff_ms = FIRST_BACKOFF_MS;
     let mut lost_at: Option<Instant> = None;
+    let mut doubts = shared.store_doubts.subscribe();
+    let mut probing = false;
     loop {
         let outcome = match revision {
             None => {
@@ -68,8 +78,18 @@
             }
             Some(revision) => {
                 shared.metrics.store_call("watch");
-                let wait = Duration::from_millis(WATCH_MS);
-                let watched = store.watch(feed.prefix(), revision, wait).await;
+                let wait = if probing {
+                    Duration::from_millis(PROBE_WATCH_MS)
+                } else {
+                    feed.wait()
+                };
+                let watched = tokio::select! {
+                    watched = store.watch(feed.prefix(), revision, wait) => watched,
+                    _ = doubts.changed(), if !probing => {
+                        probing = true;
+                        continue;
+                    }
+                };
                 watched.map(|changes| {
                     changes
                         .changes
@@ -86,6 +106,8 @@
                     log::info!(feed = feed.name(), after_ms, revision = next; "store is followed again");
                 }
                 revision = Some(next);
+                probing = false;
+                doubts.mark_unchanged();
                 backoff_ms = FIRST_BACKOFF_MS;
                 feed.settled();
                 tokio::time::sleep(feed.pause()).await;
@@ -97,8 +119,10 @@
                     revision = None;
                     continue;
                 }
+                probing = true;
                 if lost_at.is_none() {
                     lost_at = Some(Instant::now());
+                    shared.store_doubts.send_modify(|doubts| *doubts += 1);
                     log::warn!(feed = feed.name(), reason = err.to_string().as_str(); "store can't be followed");
                 }
                 tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
@@ -165,6 +189,10 @@
         self.0.platform.dialect.table_key()
     }
 
+    fn wait(&self) -> Duration {
+        Duration::from_millis(LONG_WATCH_MS)
+    }
+
     fn pause(&self) -> Duration {
         Duration::from_millis(CHANGES_PAUSE_MS)
     }
@@ -219,6 +247,10 @@
         self.shared.platform.dialect.servers_prefix()
     }
 
+    fn wait(&self) -> Duration {
+        Duration::from_millis(SERVERS_WATCH_MS)
+    }
+
     fn pause(&self) -> Duration {
         Duration::from_millis(SERVERS_PAUSE_MS)
     }
@@ -287,6 +319,10 @@
         registry::PREFIX
     }
 
+    fn wait(&self) -> Duration {
+        Duration::from_millis(LONG_WATCH_MS)
+    }
+
     fn pause(&self) -> Duration {
         Duration::from_millis(CHANGES_PAUSE_MS)
     }
