--- a/crates/peridotslip-daemon/src/main.rs
+++ b/crates/peridotslip-daemon/src/main.rs
@@ -14,7 +14,10 @@
 mod settings;
 mod start;
 
-use std::{path::{Path, PathBuf}, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 
--- a/crates/peridotslip-edge/src/clock.rs
+++ b/crates/peridotslip-edge/src/clock.rs
@@ -22,7 +22,7 @@
 
     /// Milliseconds since the epoch. It may jump, so nothing that has to be
     /// right depends on it.
-    pub(crate) fn unix_ms(self) -> u64 {
+    pub(crate) fn unix_ms() -> u64 {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         since.map_or(0, |since| {
             u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use tokio::sync::watch;
 use peridotslip::forwarding::{Organisation, Placement, RetryBudget, Route, RoutingIndex};
+use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
@@ -177,7 +177,10 @@
 
     /// When the final answer is due at the latest.
     pub(crate) fn due(&self) -> Instant {
-        let route_ms = self.route.as_ref().map_or(u64::MAX, |route| route.timeout_ms);
+        let route_ms = self
+            .route
+            .as_ref()
+            .map_or(u64::MAX, |route| route.timeout_ms);
         let caller_ms = self.caller.deadline_ms.unwrap_or(u64::MAX);
         // A day stands for no limit; no route waits longer.
         let limit_ms = route_ms.min(caller_ms).min(24 * 60 * 60 * 1000);
--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -5,7 +5,7 @@
 mod whole;
 
 use http::{HeaderMap, Response, header};
-use peridotslip::forwarding::ServerId;
+use peridotslip::forwarding::{RetryBudget, ServerId};
 
 use self::attempt::Attempt;
 use crate::{
@@ -72,7 +72,7 @@
         let now_ms = cx.shared.clock.now_ms();
         if !self.counted {
             self.counted = true;
-            cx.shared.retries(&cx.service, |budget| budget.deposit());
+            cx.shared.retries(&cx.service, RetryBudget::deposit);
             return true;
         }
         let allowed = cx
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::{Cx, Shared},
     ports::{SendHead, ServerAnswer},
-    upstream::{Lease, NoConnection, Sent},
+    upstream::{Exchange, Lease, NoConnection},
 };
 
 /// Fewest connections to a server that a router may open whatever its share.
@@ -76,12 +76,10 @@
         limit: Duration,
     ) -> Option<Result<Self, (ServerId, Failed)>> {
         let now_ms = cx.shared.clock.now_ms();
-        let server = cx.shared.placement().choose(
-            &cx.service,
-            &cx.caller.demand,
-            &tries.servers,
-            now_ms,
-        )?;
+        let server =
+            cx.shared
+                .placement()
+                .choose(&cx.service, &cx.caller.demand, &tries.servers, now_ms)?;
         let mut place = Place {
             shared: cx.shared.clone(),
             server: server.id.clone(),
@@ -142,12 +140,12 @@
         };
         let sent = Instant::now();
         let response = match tokio::time::timeout(limit, lease.send(request)).await {
-            Ok(Sent::Answer(response)) => response,
-            Ok(Sent::NotSent) => {
+            Ok(Exchange::Answer(response)) => response,
+            Ok(Exchange::Unwritten) => {
                 place.end(End::Neutral);
                 return Err(Failed::NotRun("connection-closed"));
             }
-            Ok(Sent::Broken(reason)) => {
+            Ok(Exchange::Broken(reason)) => {
                 place.end(End::Failed);
                 return Err(Failed::MayHaveRun(reason));
             }
@@ -223,7 +221,10 @@
         .body(Full::new(cx.body.clone()))?;
     *request.headers_mut() = cx.shared.platform.dialect.prepare(&cx.headers, &head);
     if !request.headers().contains_key(header::HOST) {
-        let host = cx.uri.authority().map_or("", |authority| authority.as_str());
+        let host = cx
+            .uri
+            .authority()
+            .map_or("", |authority| authority.as_str());
         let host = HeaderValue::from_str(host)?;
         request.headers_mut().insert(header::HOST, host);
     }
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -252,17 +252,13 @@
                     break "broken";
                 }
                 cx.shared.metrics.retried("stream-broke");
-                match resume(&mut cx, &mut tries, progress).await {
-                    Some((other, event)) => {
-                        source = other;
-                        next = event.map_or(Next::End, Next::Event);
-                        continue;
-                    }
-                    None => {
-                        cut(&tx).await;
-                        break "broken";
-                    }
-                }
+                let Some((other, event)) = resume(&mut cx, &mut tries, progress).await else {
+                    cut(&tx).await;
+                    break "broken";
+                };
+                source = other;
+                next = event.map_or(Next::End, Next::Event);
+                continue;
             }
         }
         let limit = gap_limit(&cx, &tries);
@@ -321,4 +317,3 @@
     };
     left.min(Duration::from_millis(gap_ms) * GAPS_BEFORE_RETRY)
 }
-
--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     context::Shared,
-    registry,
     ports::{Change, Item, StoreError},
+    registry,
 };
 
 /// Wait of a watch whose keys rarely change, in milliseconds.
@@ -201,12 +201,16 @@
         match change {
             Change::Put(item) => self.read(&item),
             // The last table stays in force.
-            Change::Removed(key) => log::error!(key = key.as_str(); "routing table was removed from the store"),
+            Change::Removed(key) => {
+                log::error!(key = key.as_str(); "routing table was removed from the store");
+            }
         }
     }
 
     fn all(&mut self, items: Vec<Item>, _outage: Duration) {
-        items.iter().for_each(|item| self.read(item));
+        for item in &items {
+            self.read(item);
+        }
     }
 
     fn settled(&mut self) {}
@@ -342,9 +346,9 @@
     }
 
     fn all(&mut self, items: Vec<Item>, _outage: Duration) {
-        items
-            .into_iter()
-            .for_each(|item| self.change(Change::Put(item)));
+        for item in items {
+            self.change(Change::Put(item));
+        }
     }
 
     fn settled(&mut self) {
--- a/crates/peridotslip-edge/src/filters.rs
+++ b/crates/peridotslip-edge/src/filters.rs
@@ -23,7 +23,10 @@
 impl Chain {
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
-            filters: vec![Box::new(route::MatchRoute), Box::new(reserve::ReserveTokens)],
+            filters: vec![
+                Box::new(route::MatchRoute),
+                Box::new(reserve::ReserveTokens),
+            ],
         })
     }
 
--- a/crates/peridotslip-edge/src/front.rs
+++ b/crates/peridotslip-edge/src/front.rs
@@ -176,7 +176,9 @@
 }
 
 fn refuse(refused: Refused) -> Response<Body> {
-    let mut response = Response::new(whole(Bytes::from_static(refused.reason.as_str().as_bytes())));
+    let mut response = Response::new(whole(Bytes::from_static(
+        refused.reason.as_str().as_bytes(),
+    )));
     *response.status_mut() = refused.reason.status();
     if let Some(after_ms) = refused.retry_after_ms {
         let after = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -6,8 +6,9 @@
 router's state, and the traits that a platform's adapter implements
 ([`ports`]). Decisions without I/O are in the `peridotslip` crate.
 
-[`run`] needs [`Settings`](settings::Settings) and a
-[`Platform`](ports::Platform), and returns after a graceful shutdown.
+[`Router::bind`] starts a router in a running executor; [`run`] is the whole
+process. Both need [`Settings`](settings::Settings) and a
+[`Platform`](ports::Platform).
 */
 
 mod body;
@@ -30,4 +31,4 @@
 mod treasury;
 mod upstream;
 
-pub use self::run::run;
+pub use self::run::{Router, run};
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -42,7 +42,7 @@
 /// The other routers of the fleet.
 pub(crate) struct Peers {
     me: Member,
-    peers: Mutex<BTreeMap<String, Peer>>,
+    others: Mutex<BTreeMap<String, Peer>>,
     client: Client,
 }
 
@@ -50,13 +50,13 @@
     pub(crate) fn new(me: Member) -> Arc<Self> {
         Arc::new(Self {
             me,
-            peers: Mutex::default(),
+            others: Mutex::default(),
             client: Client::default(),
         })
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Peer>> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+        self.others.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// This router's entry.
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -136,6 +136,7 @@
 }
 
 /// What a backend server's answer says of itself.
+#[allow(clippy::struct_excessive_bools)] // Each is an independent fact in a header.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServerAnswer {
     /// The attempt that it answers.
--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -74,5 +74,8 @@
     let entry = Entry { member: me.clone() };
     let value = serde_json::to_vec(&entry)
         .map_err(|err| crate::ports::StoreError::Unreadable(err.to_string()))?;
-    Ok(matches!(store.swap(&key, revision, &value).await?, Swap::Done(_)))
+    Ok(matches!(
+        store.swap(&key, revision, &value).await?,
+        Swap::Done(_)
+    ))
 }
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -53,67 +53,93 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run_async(file.to_owned(), settings, platform))
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let hangup = signal(SignalKind::hangup())?;
+        let router = Router::bind(settings, platform).await?;
+        tokio::spawn(follow_settings(
+            file.to_owned(),
+            router.shared.clone(),
+            hangup,
+        ));
+        term.recv().await;
+        router.stop().await;
+        Ok(())
+    })
 }
 
-async fn run_async(file: PathBuf, settings: Settings, platform: Platform) -> Result<(), Error> {
-    let mut term = signal(SignalKind::terminate())?;
-    let hangup = signal(SignalKind::hangup())?;
-    let metrics = Metrics::open()?;
-    let clock = Clock::start();
-    let peers = Peers::new(Member {
-        vm: settings.vm.clone(),
-        address: settings.listen.peers.clone(),
-        incarnation: Incarnation::from(Uuid::now_v7().as_u128()),
-    });
-    let treasury = Treasury::spawn(
-        platform.store.clone(),
-        peers.clone(),
-        metrics.clone(),
-        clock,
-        settings.money.clone(),
-    );
-    let listen = settings.listen.clone();
-    let callers = TcpListener::bind(&listen.callers).await?;
-    let ready = TcpListener::bind(&listen.ready).await?;
-    let peer_listener = TcpListener::bind(&listen.peers).await?;
-    let shared = Arc::new(Shared::new(
-        settings,
-        platform,
-        metrics,
-        clock,
-        peers.clone(),
-        treasury,
-    ));
-    if let Some(address) = &listen.metrics {
-        serve_metrics(address, &shared).await?;
+/// A running router.
+pub struct Router {
+    shared: Arc<Shared>,
+    stop_tx: watch::Sender<bool>,
+}
+
+impl Router {
+    /// Listens on the addresses in `settings` and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// An error if an address can't be listened on.
+    pub async fn bind(settings: Settings, platform: Platform) -> Result<Self, Error> {
+        let metrics = Metrics::open()?;
+        let clock = Clock::start();
+        let peers = Peers::new(Member {
+            vm: settings.vm.clone(),
+            address: settings.listen.peers.clone(),
+            incarnation: Incarnation::from(Uuid::now_v7().as_u128()),
+        });
+        let treasury = Treasury::spawn(
+            platform.store.clone(),
+            peers.clone(),
+            metrics.clone(),
+            clock,
+            settings.money.clone(),
+        );
+        let listen = settings.listen.clone();
+        let callers = TcpListener::bind(&listen.callers).await?;
+        let ready = TcpListener::bind(&listen.ready).await?;
+        let peer_listener = TcpListener::bind(&listen.peers).await?;
+        let shared = Arc::new(Shared::new(
+            settings,
+            platform,
+            metrics,
+            clock,
+            peers.clone(),
+            treasury,
+        ));
+        if let Some(address) = &listen.metrics {
+            serve_metrics(address, &shared).await?;
+        }
+        log::info!(
+            vm = peers.me().vm.as_str(),
+            incarnation = peers.me().incarnation.to_string().as_str();
+            "router started"
+        );
+        feeds::spawn(&shared);
+        tokio::spawn(rpc::serve(peer_listener, {
+            let shared = shared.clone();
+            move |ask| answer_peer(shared.clone(), ask)
+        }));
+        tokio::spawn(peers.probe_silent(Ask::Probe));
+        tokio::spawn(front::serve_checks(ready, {
+            let shared = shared.clone();
+            move |path| front::readiness(&shared, path)
+        }));
+        let (stop_tx, stop_rx) = watch::channel(false);
+        tokio::spawn(front::serve_callers(
+            callers,
+            shared.clone(),
+            Chain::new(),
+            stop_rx,
+        ));
+        Ok(Self { shared, stop_tx })
+    }
+
+    /// Stops gracefully: open requests end, and what is not spent is given
+    /// back.
+    pub async fn stop(self) {
+        stop(&self.shared, &self.stop_tx).await;
     }
-    log::info!(
-        vm = peers.me().vm.as_str(),
-        incarnation = peers.me().incarnation.to_string().as_str();
-        "router started"
-    );
-    feeds::spawn(&shared);
-    tokio::spawn(rpc::serve(peer_listener, {
-        let shared = shared.clone();
-        move |ask| answer_peer(shared.clone(), ask)
-    }));
-    tokio::spawn(peers.probe_silent(Ask::Probe));
-    tokio::spawn(front::serve_checks(ready, {
-        let shared = shared.clone();
-        move |path| front::readiness(&shared, path)
-    }));
-    tokio::spawn(follow_settings(file, shared.clone(), hangup));
-    let (stop_tx, stop_rx) = watch::channel(false);
-    tokio::spawn(front::serve_callers(
-        callers,
-        shared.clone(),
-        Chain::new(),
-        stop_rx,
-    ));
-    term.recv().await;
-    stop(&shared, &stop_tx).await;
-    Ok(())
 }
 
 async fn serve_metrics(address: &str, shared: &Arc<Shared>) -> Result<(), Error> {
--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -185,7 +185,10 @@
             return field("listen", "give each address as IP:port");
         }
         if !(0.0..=1.0).contains(&self.retries.ratio) || self.retries.allowance < 0.0 {
-            return field("retries", "ratio lies in 0 to 1 and allowance is not negative");
+            return field(
+                "retries",
+                "ratio lies in 0 to 1 and allowance is not negative",
+            );
         }
         Ok(())
     }
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -34,8 +34,8 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    peers::{Member, Peers},
     once::Once,
+    peers::{Member, Peers},
     ports::MetadataStore,
     settings::Money,
 };
@@ -89,6 +89,9 @@
     }
 }
 
+/// Settlements that wait to be sent to a home.
+type Outgoing = (Member, Vec<(Ticket, u64)>);
+
 /// What came of asking a wallet.
 enum Tried {
     Held(Reservation),
@@ -106,7 +109,7 @@
     settings: Money,
     accounts: Mutex<HashMap<OrganisationName, Arc<Account>>>,
     tickets: Mutex<HashMap<Ticket, (OrganisationName, Reservation, Instant)>>,
-    outbox: Mutex<HashMap<String, (Member, Vec<(Ticket, u64)>)>>,
+    outbox: Mutex<HashMap<String, Outgoing>>,
     settle: Notify,
     next_ticket: AtomicU64,
     leaving: AtomicBool,
@@ -398,7 +401,9 @@
         match state.wallet.reserve(&account.budget, tokens, now_ms) {
             Reserve::Held(reservation) => Tried::Held(reservation),
             Reserve::Unwitnessed(needed) => Tried::Unwitnessed(needed),
-            Reserve::Short if state.replies > replies && state.exhausted(&account.budget, tokens) => {
+            Reserve::Short
+                if state.replies > replies && state.exhausted(&account.budget, tokens) =>
+            {
                 Tried::Exhausted
             }
             Reserve::Short => Tried::Short,
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -8,7 +8,10 @@
 use peridotslip::ledger::{Report, ReportReply, ShardRecord};
 
 use super::{Account, Treasury, lock};
-use crate::ports::{Item, StoreError, Swap};
+use crate::{
+    clock::Clock,
+    ports::{Item, StoreError, Swap},
+};
 
 /// Shortest time between two exchanges with a record, in milliseconds.
 const MIN_EXCHANGE_GAP_MS: u64 = 100;
@@ -56,11 +59,7 @@
     }
 
     /// Tells the record what has changed and takes in its reply.
-    async fn exchange(
-        &self,
-        account: &Account,
-        known: &mut Known,
-    ) -> Result<(), StoreError> {
+    async fn exchange(&self, account: &Account, known: &mut Known) -> Result<(), StoreError> {
         let (report, vouchers) = {
             let mut state = account.lock();
             let vouchers = state.wallet.voucher_reports();
@@ -75,13 +74,17 @@
                 None => self.read_record(&account.key).await?,
             };
             let mut next = record;
-            let now_ms = self.clock.unix_ms();
+            let now_ms = Clock::unix_ms();
             let apply = |report| next.apply(report, now_ms);
             let voucher_replies: Vec<ReportReply> = vouchers.iter().map(apply).collect();
             let reply = next.apply(&report, now_ms);
             next.expire();
             self.metrics.store_call("swap");
-            match self.store.swap(&account.key, revision, &next.encode()).await? {
+            match self
+                .store
+                .swap(&account.key, revision, &next.encode())
+                .await?
+            {
                 Swap::Done(revision) => {
                     *known = Some((revision, next));
                     for reply in &voucher_replies {
@@ -91,7 +94,7 @@
                     return Ok(());
                 }
                 Swap::Conflict(item) => {
-                    *known = item.map(decode_record).transpose()?;
+                    *known = item.as_ref().map(decode_record).transpose()?;
                     log::info!(budget = account.budget.as_str(), revision; "record was changed by another router");
                 }
             }
@@ -127,7 +130,7 @@
     async fn read_record(&self, key: &str) -> Result<(u64, ShardRecord), StoreError> {
         self.metrics.store_call("get");
         match self.store.get(key).await? {
-            Some(item) => decode_record(item),
+            Some(item) => decode_record(&item),
             None => Ok((0, ShardRecord::default())),
         }
     }
@@ -150,8 +153,8 @@
     }
 }
 
-fn decode_record(item: Item) -> Result<(u64, ShardRecord), StoreError> {
-    let record = ShardRecord::decode(&item.value)
-        .map_err(|err| StoreError::Unreadable(err.to_string()))?;
+fn decode_record(item: &Item) -> Result<(u64, ShardRecord), StoreError> {
+    let record =
+        ShardRecord::decode(&item.value).map_err(|err| StoreError::Unreadable(err.to_string()))?;
     Ok((item.revision, record))
 }
--- a/crates/peridotslip-edge/src/treasury/witness.rs
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -1,11 +1,7 @@
 //! Ceilings on what routers use of their grants, noted by other routers, so
 //! that the rest of a dead router's grant can be freed.
 
-use std::{
-    collections::HashSet,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use peridotslip::{
     ids::{BudgetName, Incarnation},
@@ -43,7 +39,7 @@
         }
         let _raising = account.raising.lock().await;
         let (used, held) = account.lock().wallet.used_at_most(&account.budget);
-        let ceiling = held.unwrap_or(0).max(used + self.step(account));
+        let ceiling = held.unwrap_or(0).max(used + Self::step(account));
         if !self.note(account, &chosen, ceiling).await {
             return;
         }
@@ -77,7 +73,7 @@
             .any(|witness| !running.contains(&witness.incarnation))
     }
 
-    fn step(&self, account: &Account) -> u64 {
+    fn step(account: &Account) -> u64 {
         let state = account.lock();
         let ahead = state.wallet.rate(&account.budget) * AHEAD_MS / 1_000;
         let paid = state.reply.as_ref().map_or(0, |reply| reply.paid);
@@ -98,16 +94,13 @@
             account.lock().wallet.set_ceiling(&account.budget, None);
             return true;
         }
-        let target = needed.max(used) + self.step(account);
+        let target = needed.max(used) + Self::step(account);
         let mut noted = true;
         for witnesses in &sets {
             noted &= self.note(account, witnesses, target).await;
         }
         if noted {
-            account
-                .lock()
-                .wallet
-                .raise_ceiling(&account.budget, target);
+            account.lock().wallet.raise_ceiling(&account.budget, target);
         } else {
             log::warn!(budget = account.budget.as_str(), needed; "no witness notes the ceiling");
         }
@@ -120,7 +113,7 @@
         let Some(ceiling) = ceiling else {
             return;
         };
-        let needed = used + self.step(account) / 2;
+        let needed = used + Self::step(account) / 2;
         if needed <= ceiling || account.raising.try_lock().is_err() {
             return;
         }
@@ -205,7 +198,11 @@
             return;
         }
         self.metrics.store_call("swap");
-        match self.store.swap(&account.key, revision, &next.encode()).await {
+        match self
+            .store
+            .swap(&account.key, revision, &next.encode())
+            .await
+        {
             Ok(Swap::Done(revision)) => {
                 let dead = holder.incarnation.to_string();
                 log::info!(budget = account.budget.as_str(), dead = dead.as_str(), tokens = freed, ceiling; "tokens of a dead router are free again");
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -64,11 +64,11 @@
 }
 
 /// What became of a request on a connection.
-pub(crate) enum Sent {
+pub(crate) enum Exchange {
     /// An answer's head came.
     Answer(Response<Incoming>),
     /// The connection had closed before the request was written.
-    NotSent,
+    Unwritten,
     /// The request was written and no head came.
     Broken(String),
 }
@@ -208,18 +208,18 @@
 
 impl Lease {
     /// Sends a request and waits for the answer's head.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Exchange {
         let Some(sender) = &mut self.sender else {
-            return Sent::NotSent;
+            return Exchange::Unwritten;
         };
         if sender.ready().await.is_err() {
-            return Sent::NotSent;
+            return Exchange::Unwritten;
         }
         match sender.try_send_request(request).await {
-            Ok(response) => Sent::Answer(response),
+            Ok(response) => Exchange::Answer(response),
             Err(mut err) => match err.take_message() {
-                Some(_) => Sent::NotSent,
-                None => Sent::Broken(err.into_error().to_string()),
+                Some(_) => Exchange::Unwritten,
+                None => Exchange::Broken(err.into_error().to_string()),
             },
         }
     }
--- a/crates/peridotslip-standins/src/experiment/ledger/schemes.rs
+++ b/crates/peridotslip-standins/src/experiment/ledger/schemes.rs
@@ -279,7 +279,7 @@
                 self.wallets[router].forget_needs();
                 Decision::Refuse
             }
-            Reserve::Short => match self.recalled_at_ms[router] {
+            Reserve::Short | Reserve::Unwitnessed(_) => match self.recalled_at_ms[router] {
                 // After an exchange, a recall and another exchange, what is
                 // left is set aside for requests that still run.
                 Some(at_ms) if now_ms >= at_ms + 2 * PACE_MS => {
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -195,8 +195,8 @@
     fn load(&self, now_ms: u64) -> u32 {
         match self.report {
             Some((report, at_ms)) if now_ms < at_ms + REPORT_AGE_MS => {
-                let others = (report.running + report.waiting)
-                    .saturating_sub(self.in_flight_at_report);
+                let others =
+                    (report.running + report.waiting).saturating_sub(self.in_flight_at_report);
                 others + self.in_flight
             }
             _ => self.in_flight,
@@ -291,7 +291,11 @@
     ) -> Option<Server> {
         let id = self
             .best(service, demand, tried, now_ms, Known::available)
-            .or_else(|| self.best(service, demand, tried, now_ms, |known, _| known.takes_work()))?;
+            .or_else(|| {
+                self.best(service, demand, tried, now_ms, |known, _| {
+                    known.takes_work()
+                })
+            })?;
         let known = self.servers.get_mut(&id)?;
         known.in_flight += 1;
         known.reading += demand.work(known.parts.cached(demand));
--- a/crates/peridotslip/src/forwarding/table.rs
+++ b/crates/peridotslip/src/forwarding/table.rs
@@ -63,7 +63,11 @@
     /// drawn for the request.
     #[must_use]
     pub fn target(&self, random: u64) -> Option<&str> {
-        let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
         let mut at = random.checked_rem(total)?;
         for (service, weight) in &self.targets {
             let weight = u64::from(*weight);
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -461,7 +461,8 @@
                 given = 0;
             }
             let wished = position.want.saturating_sub(grant.granted + given);
-            let extra = wished.min((account.free() - given) / 100 * u64::from(position.wish_percent.min(100)));
+            let extra = wished
+                .min((account.free() - given) / 100 * u64::from(position.wish_percent.min(100)));
             grant.granted += given + extra;
             account.grants.insert(incarnation, grant);
         }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -393,9 +393,9 @@
     /// and not needed, for another wallet to spend.
     pub fn lend(&mut self, budget: &BudgetName, tokens: u64) -> Option<Voucher> {
         let purse = self.purses.get_mut(budget)?;
-        let room = purse
-            .ceiling
-            .map_or(u64::MAX, |ceiling| ceiling.saturating_sub(purse.used_at_most()));
+        let room = purse.ceiling.map_or(u64::MAX, |ceiling| {
+            ceiling.saturating_sub(purse.used_at_most())
+        });
         let tokens = tokens.min(purse.own_spare()).min(room);
         if tokens == 0 {
             return None;
@@ -573,7 +573,9 @@
     /// may have more.
     #[must_use]
     pub fn is_low(&self, budget: &BudgetName) -> bool {
-        self.purses.get(budget).is_some_and(|purse| purse.is_low(self.forecast))
+        self.purses
+            .get(budget)
+            .is_some_and(|purse| purse.is_low(self.forecast))
     }
 
     /// Whether no record has ever heard of this wallet.
