--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -186,8 +186,11 @@
             organisation,
             tokens,
         } => Answer::Voucher(shared.treasury.lend(&organisation, tokens)),
-        Ask::Take(vouchers) => {
-            shared.treasury.take(vouchers);
+        Ask::Take {
+            incarnation,
+            vouchers,
+        } => {
+            shared.treasury.take(incarnation, vouchers);
             Answer::Done(true)
         }
         Ask::Witness {
--- a/crates/peridotslip-edge/src/treasury/account.rs
+++ b/crates/peridotslip-edge/src/treasury/account.rs
@@ -7,12 +7,10 @@
 
 use peridotslip::{
     ids::{BudgetName, OrganisationName},
-    ledger::{GrantReply, Wallet},
+    ledger::{GrantReply, Wallet, WitnessSets},
 };
 use tokio::sync::Notify;
 
-use crate::peers::Member;
-
 /// One organisation's budget at this router.
 pub(super) struct Account {
     pub(super) organisation: OrganisationName,
@@ -23,9 +21,8 @@
     pub(super) borrowed_at: tokio::sync::Mutex<Option<Instant>>,
     pub(super) budget: BudgetName,
     pub(super) state: Mutex<State>,
-    /// The routers that note ceilings: those that the record names, and then
-    /// those that it may name by now. One of each set must note a ceiling.
-    pub(super) witnesses: Mutex<Vec<Vec<Member>>>,
+    /// The routers that note ceilings.
+    pub(super) witnesses: Mutex<WitnessSets>,
     /// Held while a ceiling is being raised.
     pub(super) raising: tokio::sync::Mutex<()>,
     /// Wakes the task that exchanges reports with the record.
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -104,7 +104,7 @@
 
     fn accept(&self, account: &Account, report: &Report, reply: &ReportReply) {
         if !report.witnesses.is_empty() {
-            Self::witnesses_named(account);
+            lock(&account.witnesses).newest_is_named();
         }
         let mut state = account.lock();
         state.wallet.accept(reply);
--- a/crates/peridotslip-edge/src/treasury/lending.rs
+++ b/crates/peridotslip-edge/src/treasury/lending.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use peridotslip::{ids::OrganisationName, ledger::Voucher};
+use peridotslip::{
+    ids::{Incarnation, OrganisationName},
+    ledger::Voucher,
+};
 
 use super::{ASK_SLACK_MS, Account, Ask, Treasury, lock, send};
 use crate::peers::Member;
@@ -66,8 +69,16 @@
         state.wallet.lend(&account.budget, tokens)
     }
 
-    /// Takes over tokens of another router.
-    pub(crate) fn take(self: &Arc<Self>, vouchers: Vec<(OrganisationName, Voucher)>) {
+    /// Takes over tokens of another router that are meant for `incarnation`.
+    pub(crate) fn take(
+        self: &Arc<Self>,
+        incarnation: Incarnation,
+        vouchers: Vec<(OrganisationName, Voucher)>,
+    ) {
+        if incarnation != self.peers.me().incarnation {
+            log::warn!("tokens meant for an earlier run of this router are lost");
+            return;
+        }
         for (organisation, voucher) in vouchers {
             let account = self.account(&organisation);
             let tokens = voucher.tokens;
@@ -97,7 +108,11 @@
         for (home, vouchers) in groups.into_values() {
             let tokens: u64 = vouchers.iter().map(|(_, voucher)| voucher.tokens).sum();
             log::info!(home = home.vm.as_str(), tokens; "handing tokens over");
-            send(&self.peers, &home, &Ask::Take(vouchers)).await;
+            let ask = Ask::Take {
+                incarnation: home.incarnation,
+                vouchers,
+            };
+            send(&self.peers, &home, &ask).await;
         }
     }
 
--- a/crates/peridotslip-edge/src/treasury/messages.rs
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -30,8 +30,12 @@
         organisation: OrganisationName,
         tokens: u64,
     },
-    /// Take over tokens of a router that leaves.
-    Take(Vec<(OrganisationName, Voucher)>),
+    /// Take over tokens of a router that leaves. Meant for one run only: a
+    /// later one at the address can't know what that run took in.
+    Take {
+        incarnation: Incarnation,
+        vouchers: Vec<(OrganisationName, Voucher)>,
+    },
     /// Note that a router may use so much of its grant over its life.
     Witness {
         witness: Incarnation,
--- a/crates/peridotslip-edge/src/treasury/witness.rs
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::{ASK_SLACK_MS, Account, Ask, Treasury, exchange::Known, lock};
-use crate::{peers::Member, ports::Swap, registry, rpc};
+use crate::{ports::Swap, registry, rpc};
 
 /// Witnesses of one budget. One suffices to go on; all are needed to free
 /// what a dead router held.
@@ -28,12 +28,19 @@
     /// ceiling as well.
     pub(super) async fn choose_witnesses(&self, account: &Account) {
         let ranked = self.peers.ranked(account.organisation.as_str(), false);
-        let newest = lock(&account.witnesses).last().cloned();
-        let sound = |witness: &Member| ranked.contains(witness);
-        if newest.is_some_and(|newest| newest.iter().all(sound)) {
+        let sound =
+            |witness: &Incarnation| ranked.iter().any(|member| member.incarnation == *witness);
+        if lock(&account.witnesses)
+            .newest()
+            .is_some_and(|newest| newest.iter().all(sound))
+        {
             return;
         }
-        let chosen: Vec<Member> = ranked.into_iter().take(WITNESSES).collect();
+        let chosen: Vec<Incarnation> = ranked
+            .iter()
+            .take(WITNESSES)
+            .map(|member| member.incarnation)
+            .collect();
         if chosen.is_empty() {
             return;
         }
@@ -43,7 +50,6 @@
         if !self.note(account, &chosen, ceiling).await {
             return;
         }
-        let incarnations = chosen.iter().map(|member| member.incarnation).collect();
         let mut state = account.lock();
         let (used, held) = state.wallet.used_at_most(&account.budget);
         if used > ceiling {
@@ -52,27 +58,11 @@
         // A ceiling that holds already may be lower than the one just noted.
         let ceiling = held.unwrap_or(ceiling);
         state.wallet.set_ceiling(&account.budget, Some(ceiling));
-        state.wallet.set_witnesses(incarnations);
+        state.wallet.set_witnesses(chosen.clone());
         drop(state);
         lock(&account.witnesses).push(chosen);
     }
 
-    /// The record names the newest witnesses now.
-    pub(super) fn witnesses_named(account: &Account) {
-        let mut sets = lock(&account.witnesses);
-        let older = sets.len().saturating_sub(1);
-        sets.drain(..older);
-    }
-
-    /// Whether one of `witnesses` has started anew, so that nothing can be
-    /// freed on their word any more.
-    fn lost_memory(&self, witnesses: &[Member]) -> bool {
-        let running: HashSet<Incarnation> = self.peers.incarnations().into_iter().collect();
-        witnesses
-            .iter()
-            .any(|witness| !running.contains(&witness.incarnation))
-    }
-
     fn step(account: &Account) -> u64 {
         let state = account.lock();
         let ahead = state.wallet.rate(&account.budget) * AHEAD_MS / 1_000;
@@ -88,8 +78,8 @@
         if ceiling.is_none_or(|ceiling| ceiling >= needed) {
             return true;
         }
-        let mut sets = lock(&account.witnesses).clone();
-        sets.retain(|witnesses| !self.lost_memory(witnesses));
+        let running: HashSet<Incarnation> = self.peers.incarnations().into_iter().collect();
+        let sets = lock(&account.witnesses).binding(|witness| running.contains(&witness));
         if sets.is_empty() {
             account.lock().wallet.set_ceiling(&account.budget, None);
             return true;
@@ -122,19 +112,22 @@
     }
 
     /// Asks `witnesses` to note a ceiling; waits for the first that does.
-    async fn note(&self, account: &Account, witnesses: &[Member], ceiling: u64) -> bool {
+    async fn note(&self, account: &Account, witnesses: &[Incarnation], ceiling: u64) -> bool {
         let mut asks = JoinSet::new();
         for witness in witnesses {
+            let Some(member) = self.peers.by_incarnation(*witness) else {
+                continue;
+            };
             let ask = Ask::Witness {
-                witness: witness.incarnation,
+                witness: *witness,
                 holder: self.peers.me().incarnation,
                 budget: account.budget.clone(),
                 ceiling,
             };
-            let (peers, witness) = (self.peers.clone(), witness.clone());
+            let peers = self.peers.clone();
             asks.spawn(async move {
                 let timeout = Duration::from_millis(ASK_SLACK_MS);
-                let noted: rpc::Result<bool> = peers.ask(&witness, &ask, timeout).await;
+                let noted: rpc::Result<bool> = peers.ask(&member, &ask, timeout).await;
                 noted == Ok(true)
             });
         }
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -23,7 +23,7 @@
 mod wallet;
 
 pub use self::account::{Account, Grant};
-pub use self::ceiling::Ceilings;
+pub use self::ceiling::{Ceilings, WitnessSets};
 pub use self::record::{Holder, KeyEntry, KeyState, ShardRecord};
 pub use self::report::{
     Bill, BudgetReport, Claim, ClaimVerdict, GrantReply, Outcome, Report, ReportReply, Settlement,
--- a/crates/peridotslip/src/ledger/ceiling.rs
+++ b/crates/peridotslip/src/ledger/ceiling.rs
@@ -39,3 +39,41 @@
         noted
     }
 }
+
+/// The routers that must note a wallet's ceilings.
+///
+/// A record names one set of witnesses. While it may name either of two, one
+/// router of each must note a ceiling. A set of which one router has started
+/// anew can't free anything any more and need not be asked.
+#[derive(Clone, Debug, Default)]
+pub struct WitnessSets {
+    sets: Vec<Vec<Incarnation>>,
+}
+
+impl WitnessSets {
+    /// The set chosen last.
+    #[must_use]
+    pub fn newest(&self) -> Option<&[Incarnation]> {
+        self.sets.last().map(Vec::as_slice)
+    }
+
+    /// Adds a set, which the record names from some later time on.
+    pub fn push(&mut self, witnesses: Vec<Incarnation>) {
+        self.sets.push(witnesses);
+    }
+
+    /// The record names the newest set.
+    pub fn newest_is_named(&mut self) {
+        let older = self.sets.len().saturating_sub(1);
+        self.sets.drain(..older);
+    }
+
+    /// The sets of which one router each must note a ceiling; if there are
+    /// none, nothing bounds the wallet.
+    #[must_use]
+    pub fn binding(&self, is_running: impl Fn(Incarnation) -> bool) -> Vec<Vec<Incarnation>> {
+        let mut sets = self.sets.clone();
+        sets.retain(|set| set.iter().all(|witness| is_running(*witness)));
+        sets
+    }
+}
