--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -36,8 +36,11 @@
 /// How long a stopping router still takes connections, in milliseconds: the
 /// platform's balancer needs two readiness checks a second apart to notice.
 const ANNOUNCE_MS: u64 = 2_300;
-/// What is kept of the grace time for giving grants back, in milliseconds.
-const CLOSE_MS: u64 = 900;
+/// Longest time for giving grants back, in milliseconds.
+const CLOSE_MS: u64 = 500;
+/// What is kept of the grace time for giving grants back and ending, in
+/// milliseconds. Open requests may use the rest.
+const END_MS: u64 = 750;
 /// Time between two looks at open requests, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
 /// Time between two looks at the settings file, in milliseconds.
@@ -250,7 +253,7 @@
     shared.treasury.leave().await;
     tokio::time::sleep(Duration::from_millis(ANNOUNCE_MS)).await;
     stop_tx.send_replace(true);
-    let drained_until = until - Duration::from_millis(CLOSE_MS * 2);
+    let drained_until = until - Duration::from_millis(END_MS);
     while shared.open_requests.load(Ordering::Relaxed) > 0 || shared.treasury.has_tickets() {
         if tokio::time::Instant::now() >= drained_until {
             break;
--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -112,8 +112,9 @@
 pub struct Money {
     /// How long grants must last while the store is away, in milliseconds.
     pub horizon_ms: u64,
-    /// Most of an organisation's unspent tokens that its home holds, in
-    /// percent. What a router holds is lost if it ends without a shutdown.
+    /// Most of an organisation's tokens that its home holds while all are
+    /// unspent, in percent; the part falls with the square of what is left.
+    /// What a router holds may be lost if it ends without a shutdown.
     pub most_percent: u8,
     /// Time between two reports to the store, in milliseconds.
     pub settle_ms: u64,
@@ -125,7 +126,7 @@
     fn default() -> Self {
         Self {
             horizon_ms: 12_000,
-            most_percent: 40,
+            most_percent: 60,
             settle_ms: 1_000,
             wait_ms: 250,
         }
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -55,6 +55,11 @@
 const FLOOR_PERCENT: u8 = 15;
 /// What a peer's answer may take beyond the home's wait, in milliseconds.
 const ASK_SLACK_MS: u64 = 150;
+/// When less than this part of what was paid is left, in percent, the rest is
+/// paced instead of spent at once.
+const SCARCE_PERCENT: u64 = 3;
+/// Time over which the rest is spread, in milliseconds.
+const SCARCE_SPREAD_MS: u64 = 10_000;
 /// How long a record's word that nothing is free is taken as it is, in
 /// milliseconds: settlements free tokens at the pace of reports.
 const REPLY_AGE_MS: u64 = 700;
@@ -98,6 +103,8 @@
     Unwitnessed(u64),
     Exhausted,
     Short,
+    /// The last tokens are spread over time.
+    Paced,
 }
 
 /// The budgets that this router spends from or is home to.
@@ -319,6 +326,7 @@
                 reply: None,
                 replies: 0,
                 replied_ms: 0,
+                paced_until_ms: 0,
             }),
             refill: Notify::new(),
             refilled: Notify::new(),
@@ -368,6 +376,7 @@
                     }
                     continue;
                 }
+                Tried::Paced => return Err(Denied::Short),
                 Tried::Short if self.is_hopeless(&account, tokens) => return Err(Denied::Short),
                 Tried::Short => account.refill.notify_one(),
             }
@@ -398,8 +407,19 @@
         let mut state = account.lock();
         state.wallet.set_paid(&account.budget, paid);
         let now_ms = self.clock.now_ms();
+        let left = state.left(&account.budget);
+        let scarce = left < paid / 100 * SCARCE_PERCENT;
+        if scarce && now_ms < state.paced_until_ms {
+            return Tried::Paced;
+        }
         match state.wallet.reserve(&account.budget, tokens, now_ms) {
-            Reserve::Held(reservation) => Tried::Held(reservation),
+            Reserve::Held(reservation) => {
+                if scarce {
+                    let spread_ms = tokens * SCARCE_SPREAD_MS / left.max(tokens);
+                    state.paced_until_ms = now_ms + spread_ms;
+                }
+                Tried::Held(reservation)
+            }
             Reserve::Unwitnessed(needed) => Tried::Unwitnessed(needed),
             Reserve::Short
                 if state.replies > replies && state.exhausted(&account.budget, tokens) =>
--- a/crates/peridotslip-edge/src/treasury/account.rs
+++ b/crates/peridotslip-edge/src/treasury/account.rs
@@ -39,6 +39,8 @@
     pub(super) replies: u64,
     /// When the last one came, in milliseconds.
     pub(super) replied_ms: u64,
+    /// Until when the last tokens are kept back, in milliseconds.
+    pub(super) paced_until_ms: u64,
 }
 
 impl Account {
@@ -48,6 +50,12 @@
 }
 
 impl State {
+    /// Tokens that are at hand here or free at the record, as far as is known.
+    pub(super) fn left(&self, budget: &BudgetName) -> u64 {
+        let free = self.reply.as_ref().map_or(u64::MAX, |reply| reply.free);
+        free.saturating_add(self.wallet.spendable(budget))
+    }
+
     /// Whether what was paid certainly doesn't cover `tokens`: nobody else
     /// holds any of it, and requests that are running use up to their bounds.
     pub(super) fn exhausted(&self, budget: &BudgetName, tokens: u64) -> bool {
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -31,8 +31,9 @@
     /// Spare tokens to hold even while little is spent, as a share of what was
     /// paid, in percent.
     pub floor_percent: u8,
-    /// Most spare tokens to hold, as a share of those and of what is free at
-    /// the record, in percent. It bounds what is lost with the router.
+    /// Most spare tokens to hold while all that was paid is unspent, as a
+    /// share of it, in percent; it falls with the square of what is left. It
+    /// bounds what is lost with the router.
     pub most_percent: u8,
 }
 
@@ -221,8 +222,11 @@
         } else {
             self.free_at_record + self.own_spare()
         };
-        let most = reach / 100 * u64::from(forecast.most_percent);
-        expected.max(floor).min(most)
+        // The scarcer the tokens, the smaller the part of them at risk: what
+        // is lost with the router is missed most when little is left.
+        let left = as_f64(reach) / as_f64(self.paid.max(1));
+        let most = as_f64(reach) * left * f64::from(forecast.most_percent) / 100.0;
+        expected.max(floor).min(most as u64)
     }
 
     /// Spend per second, corrected for an average that has not yet run over
