--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -126,7 +126,7 @@
     fn default() -> Self {
         Self {
             horizon_ms: 12_000,
-            most_percent: 60,
+            most_percent: 80,
             settle_ms: 1_000,
             wait_ms: 250,
         }
