--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -95,6 +95,14 @@
         peers.values().map(|peer| peer.member.incarnation).collect()
     }
 
+    /// The known runs of other routers that still tell what they have noted: a
+    /// router that leaves tells nothing any more.
+    pub(crate) fn remembering(&self) -> Vec<Incarnation> {
+        let peers = self.lock();
+        let staying = peers.values().filter(|peer| !peer.leaving);
+        staying.map(|peer| peer.member.incarnation).collect()
+    }
+
     /// The router whose run this is, if it is known.
     pub(crate) fn by_incarnation(&self, incarnation: Incarnation) -> Option<Member> {
         let peers = self.lock();
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -188,7 +188,7 @@
         Ask::Lend {
             organisation,
             tokens,
-        } => Answer::Voucher(shared.treasury.lend(&organisation, tokens)),
+        } => Answer::Voucher(shared.treasury.lend(&organisation, tokens).await),
         Ask::Take {
             incarnation,
             vouchers,
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -103,8 +103,9 @@
     Unwitnessed(u64),
     Exhausted,
     Short,
-    /// The last tokens are spread over time.
-    Paced,
+    /// The last tokens are spread over time, or the record said only just now
+    /// that it has too few.
+    Hopeless,
 }
 
 /// The budgets that this router spends from or is home to.
@@ -164,7 +165,7 @@
         paid: u64,
         tokens: u64,
     ) -> Result<Held, Denied> {
-        let with_me = !self.leaving.load(Ordering::Relaxed);
+        let with_me = !self.is_leaving();
         let homes = self.peers.ranked(organisation.as_str(), with_me);
         for home in homes.into_iter().take(MAX_HOMES) {
             let verdict = if home.vm == self.peers.me().vm {
@@ -234,7 +235,7 @@
         tokens: u64,
         ticket: Ticket,
     ) -> Verdict {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             return Verdict::Elsewhere;
         }
         match self.reserve_here(&organisation, paid, tokens).await {
@@ -274,13 +275,17 @@
         }
     }
 
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Whether this router is the home of an organisation's budget.
     fn is_home(&self, organisation: &OrganisationName) -> bool {
         let ranked = self.peers.ranked(organisation.as_str(), true);
         let first = ranked
             .first()
             .is_some_and(|home| home.vm == self.peers.me().vm);
-        first && !self.leaving.load(Ordering::Relaxed)
+        first && !self.is_leaving()
     }
 
     /// How much to ask for ahead of needs: little where another router is
@@ -294,7 +299,7 @@
                 most_percent: self.settings.most_percent,
             }
         } else {
-            let leaving = self.leaving.load(Ordering::Relaxed);
+            let leaving = self.is_leaving();
             Forecast {
                 horizon_ms: if leaving { 0 } else { DEPUTY_HORIZON_MS },
                 share_percent: DEPUTY_PERCENT,
@@ -339,7 +344,7 @@
     /// Opens the accounts that this router is home to, so that grants are
     /// there before the first request, and raises what was paid.
     pub(crate) fn set_paid(self: &Arc<Self>, paid: &[(OrganisationName, u64)]) {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             return;
         }
         for (organisation, paid) in paid {
@@ -376,8 +381,7 @@
                     }
                     continue;
                 }
-                Tried::Paced => return Err(Denied::Short),
-                Tried::Short if self.is_hopeless(&account, tokens) => return Err(Denied::Short),
+                Tried::Hopeless => return Err(Denied::Short),
                 Tried::Short => account.refill.notify_one(),
             }
             let cut_off = account.cut_off.load(Ordering::Relaxed);
@@ -390,29 +394,24 @@
         }
     }
 
-    /// Whether the record said only just now that it has too few tokens, so
-    /// that waiting for another reply doesn't help.
-    fn is_hopeless(&self, account: &Account, tokens: u64) -> bool {
-        let state = account.lock();
-        let now_ms = self.clock.now_ms();
-        let fresh = now_ms < state.replied_ms + REPLY_AGE_MS;
-        let free = state.reply.as_ref().map_or(u64::MAX, |reply| reply.free);
-        fresh && free.saturating_add(state.wallet.spendable(&account.budget)) < tokens
-    }
-
     /// Sets tokens aside if they are at hand. `replies` is how many replies of
-    /// the record had come when the request did: only a later one shows that
-    /// nothing is left.
+    /// the record had come when the request did: only a later or a fresh one
+    /// shows that nothing is left.
     fn try_reserve(&self, account: &Account, paid: u64, tokens: u64, replies: u64) -> Tried {
         let mut state = account.lock();
-        state.wallet.set_paid(&account.budget, paid);
+        let budget = &account.budget;
+        state.wallet.set_paid(budget, paid);
         let now_ms = self.clock.now_ms();
-        let left = state.left(&account.budget);
+        let left = state.left(budget);
+        let fresh = now_ms < state.replied_ms + REPLY_AGE_MS;
+        if (fresh || state.replies > replies) && state.exhausted(budget, tokens) {
+            return Tried::Exhausted;
+        }
         let scarce = left < paid / 100 * SCARCE_PERCENT;
         if scarce && now_ms < state.paced_until_ms {
-            return Tried::Paced;
+            return Tried::Hopeless;
         }
-        match state.wallet.reserve(&account.budget, tokens, now_ms) {
+        match state.wallet.reserve(budget, tokens, now_ms) {
             Reserve::Held(reservation) => {
                 if scarce {
                     let spread_ms = tokens * SCARCE_SPREAD_MS / left.max(tokens);
@@ -421,11 +420,7 @@
                 Tried::Held(reservation)
             }
             Reserve::Unwitnessed(needed) => Tried::Unwitnessed(needed),
-            Reserve::Short
-                if state.replies > replies && state.exhausted(&account.budget, tokens) =>
-            {
-                Tried::Exhausted
-            }
+            Reserve::Short if fresh && left < tokens => Tried::Hopeless,
             Reserve::Short => Tried::Short,
         }
     }
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -39,14 +39,17 @@
             account.lock().wallet.set_forecast(forecast);
             self.choose_witnesses(&account).await;
             let outcome = self.exchange(&account, &mut known).await;
-            account.cut_off.store(outcome.is_err(), Ordering::Relaxed);
             match outcome {
-                Ok(()) => {
+                Ok(talked) => {
+                    if talked {
+                        account.cut_off.store(false, Ordering::Relaxed);
+                    }
                     backoff_ms = FIRST_BACKOFF_MS;
                     self.release_dead(&account, &mut known).await;
                     tokio::time::sleep(Duration::from_millis(MIN_EXCHANGE_GAP_MS)).await;
                 }
                 Err(err) => {
+                    account.cut_off.store(true, Ordering::Relaxed);
                     known = None;
                     let budget = account.budget.as_str();
                     log::warn!(budget, reason = err.to_string().as_str(); "budget could not be exchanged with the store");
@@ -58,15 +61,25 @@
         }
     }
 
-    /// Tells the record what has changed and takes in its reply.
-    async fn exchange(&self, account: &Account, known: &mut Known) -> Result<(), StoreError> {
+    /// Tells the record what has changed and takes in its reply. Returns
+    /// whether the store was asked at all.
+    async fn exchange(&self, account: &Account, known: &mut Known) -> Result<bool, StoreError> {
+        let cut_off = account.cut_off.load(Ordering::Relaxed);
         let (report, vouchers) = {
             let mut state = account.lock();
+            // While the store is away, borrowed tokens are what is spent.
+            if !cut_off {
+                state.wallet.close_vouchers();
+            }
             let vouchers = state.wallet.voucher_reports();
             (state.wallet.report(self.clock.now_ms()), vouchers)
         };
         if report.is_empty() && vouchers.is_empty() {
-            return Ok(());
+            if cut_off && account.lock().wallet.has_vouchers() {
+                *known = Some(self.read_record(&account.key).await?);
+                return Ok(true);
+            }
+            return Ok(false);
         }
         for _ in 0..MAX_SWAPS {
             let (revision, record) = match known.take() {
@@ -91,7 +104,7 @@
                         account.lock().wallet.accept_voucher_reply(reply);
                     }
                     self.accept(account, &report, &reply);
-                    return Ok(());
+                    return Ok(true);
                 }
                 Swap::Conflict(item) => {
                     *known = item.as_ref().map(decode_record).transpose()?;
@@ -145,7 +158,7 @@
             let forecast = self.forecast(&account.organisation);
             account.lock().wallet.set_forecast(forecast);
             let closing = self.exchange(&account, &mut known);
-            if !matches!(tokio::time::timeout_at(until, closing).await, Ok(Ok(()))) {
+            if !matches!(tokio::time::timeout_at(until, closing).await, Ok(Ok(_))) {
                 log::warn!(budget = account.budget.as_str(); "grant could not be settled with the store");
             }
         }
--- a/crates/peridotslip-edge/src/treasury/lending.rs
+++ b/crates/peridotslip-edge/src/treasury/lending.rs
@@ -57,16 +57,29 @@
     }
 
     /// Hands tokens over to another router.
-    pub(crate) fn lend(&self, organisation: &OrganisationName, tokens: u64) -> Option<Voucher> {
+    pub(crate) async fn lend(
+        &self,
+        organisation: &OrganisationName,
+        tokens: u64,
+    ) -> Option<Voucher> {
         let account = lock(&self.accounts).get(organisation).cloned()?;
-        let home = self.is_home(organisation);
-        let mut state = account.lock();
-        let tokens = if home {
-            tokens.min(state.wallet.spendable(&account.budget) / 2)
+        let at_hand = account.lock().wallet.spendable(&account.budget);
+        let tokens = if self.is_home(organisation) {
+            tokens.min(at_hand / 2)
         } else {
-            u64::MAX
+            at_hand
         };
-        state.wallet.lend(&account.budget, tokens)
+        self.issue(&account, tokens).await
+    }
+
+    /// Makes a voucher. What is lent counts as used, so witnesses note it
+    /// first; without them, only what they have noted already is lent.
+    async fn issue(&self, account: &Account, tokens: u64) -> Option<Voucher> {
+        let (used, _) = account.lock().wallet.used_at_most(&account.budget);
+        if !self.raise(account, used + tokens).await {
+            log::warn!(budget = account.budget.as_str(), tokens; "not all can be lent");
+        }
+        account.lock().wallet.lend(&account.budget, tokens)
     }
 
     /// Takes over tokens of another router that are meant for `incarnation`.
@@ -98,7 +111,8 @@
             let Some(home) = ranked.into_iter().next() else {
                 continue;
             };
-            if let Some(voucher) = account.lock().wallet.lend(&account.budget, u64::MAX) {
+            let at_hand = account.lock().wallet.spendable(&account.budget);
+            if let Some(voucher) = self.issue(&account, at_hand).await {
                 let group = groups
                     .entry(home.vm.clone())
                     .or_insert_with(|| (home, Vec::new()));
--- a/crates/peridotslip-edge/src/treasury/witness.rs
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -1,7 +1,7 @@
 //! Ceilings on what routers use of their grants, noted by other routers, so
 //! that the rest of a dead router's grant can be freed.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use peridotslip::{
     ids::{BudgetName, Incarnation},
@@ -78,8 +78,8 @@
         if ceiling.is_none_or(|ceiling| ceiling >= needed) {
             return true;
         }
-        let running: HashSet<Incarnation> = self.peers.incarnations().into_iter().collect();
-        let sets = lock(&account.witnesses).binding(|witness| running.contains(&witness));
+        let remembering = self.peers.remembering();
+        let sets = lock(&account.witnesses).binding(|witness| remembering.contains(&witness));
         if sets.is_empty() {
             account.lock().wallet.set_ceiling(&account.budget, None);
             return true;
@@ -150,6 +150,7 @@
         ceiling: u64,
     ) -> bool {
         witness == self.peers.me().incarnation
+            && !self.is_leaving()
             && lock(&self.ceilings).raise(holder, budget, ceiling)
     }
 
@@ -160,8 +161,9 @@
         holder: Incarnation,
         budget: &BudgetName,
     ) -> Option<u64> {
-        let me = self.peers.me().incarnation;
-        (witness == me).then(|| lock(&self.ceilings).close(holder, budget))
+        // Other routers count on it that one which leaves tells nothing.
+        let tells = witness == self.peers.me().incarnation && !self.is_leaving();
+        tells.then(|| lock(&self.ceilings).close(holder, budget))
     }
 
     /// Frees what routers that have died held of a budget, as far as their
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -426,9 +426,10 @@
         true
     }
 
-    /// What to tell the record in place of the lenders of vouchers: what was
-    /// spent of them, and that the rest is free again.
-    pub fn voucher_reports(&mut self) -> Vec<Report> {
+    /// Closes the vouchers that running requests don't need, so that the next
+    /// reports settle them. Call it only while the record can be reached: what
+    /// is closed can't be spent any more.
+    pub fn close_vouchers(&mut self) {
         for purse in self.purses.values_mut() {
             for borrowed in purse.take_spare_vouchers() {
                 let Borrowed { voucher, spent } = borrowed;
@@ -442,6 +443,18 @@
                     .insert((voucher.lender, voucher.seq), settlement);
             }
         }
+    }
+
+    /// Whether any voucher is in use.
+    #[must_use]
+    pub fn has_vouchers(&self) -> bool {
+        self.purses.values().any(|purse| !purse.vouchers.is_empty())
+    }
+
+    /// What to tell the record in place of the lenders of closed vouchers:
+    /// what was spent of them, and that the rest is free again.
+    #[must_use]
+    pub fn voucher_reports(&self) -> Vec<Report> {
         let mut reports: BTreeMap<Incarnation, Report> = BTreeMap::new();
         for ((lender, _), settlement) in &self.borrowed_outbox {
             let report = reports.entry(*lender).or_insert_with(|| Report {
--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -330,6 +330,7 @@
             }
             Step::Report { router } => {
                 let process = &mut self.processes[router];
+                process.wallet.close_vouchers();
                 let vouchers = process.wallet.voucher_reports();
                 let own = process.wallet.report(0);
                 let from = process.incarnation;
@@ -419,6 +420,7 @@
     };
     borrower.settle(held, Bill::new(None, 120), 0);
     let free = record.account(&budget).unwrap().free();
+    borrower.close_vouchers();
     for report in borrower.voucher_reports() {
         let reply = record.apply(&report, 0);
         borrower.accept_voucher_reply(&reply);
