--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -389,7 +389,7 @@
             let potential = world.potential();
             prop_assert!(potential <= PAID, "{potential} of {PAID} can be used");
             let account = world.record.account(&BUDGET.into());
-            prop_assert_eq!(account.map_or(0, |account| account.overspend()), 0);
+            prop_assert_eq!(account.map_or(0, Account::overspend), 0);
         }
     }
 }
