--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -23,6 +23,10 @@
     header::TRAILER,
 ];
 
+/// The server whose answer is passed on, for the log.
+#[derive(Clone, Debug)]
+pub(crate) struct ServedBy(pub(crate) ServerId);
+
 /// Why a try gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Failed {
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use peridotslip::events::{Splitter, event_id};
 
-use super::{Attempt, Failed, Tries, passed_on};
+use super::{Attempt, Failed, ServedBy, Tries, passed_on};
 use crate::{
     body::{Body, Cut, Parts, streamed, whole},
     context::{Cx, Refused},
@@ -116,6 +116,8 @@
     let mut response = Response::new(());
     *response.status_mut() = attempt.status;
     *response.headers_mut() = passed_on(&attempt.headers);
+    let served_by = ServedBy(attempt.server.clone());
+    response.extensions_mut().insert(served_by);
     response
 }
 
--- a/crates/peridotslip-edge/src/dispatch/whole.rs
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
-use super::{Attempt, Failed, Tries, passed_on};
+use super::{Attempt, Failed, ServedBy, Tries, passed_on};
 use crate::{
     body::{Body, whole},
     context::{Cx, Refused},
@@ -85,6 +85,7 @@
             let mut response = Response::new(body.to_bytes());
             *response.status_mut() = attempt.status;
             *response.headers_mut() = passed_on(&attempt.headers);
+            response.extensions_mut().insert(ServedBy(server.clone()));
             attempt.finish();
             Ok((server, response))
         }
--- a/crates/peridotslip-edge/src/filters/reserve.rs
+++ b/crates/peridotslip-edge/src/filters/reserve.rs
@@ -33,7 +33,7 @@
         let tokens = cx.caller.demand.prompt_tokens.saturating_add(output);
         let started = Instant::now();
         let treasury = &cx.shared.treasury;
-        match treasury.reserve(&organisation, paid, tokens).await {
+        match treasury.reserve(cx.id(), &organisation, paid, tokens).await {
             Ok(held) => {
                 cx.shared.metrics.reserved(started.elapsed());
                 cx.held = Some(held);
--- a/crates/peridotslip-edge/src/front.rs
+++ b/crates/peridotslip-edge/src/front.rs
@@ -136,7 +136,9 @@
     let mut response = match outcome {
         Ok(response) => {
             let status = response.status().as_u16();
-            log::info!(id = id.as_str(), route, organisation, status, version, ms; "request answered");
+            let served_by = response.extensions().get::<dispatch::ServedBy>();
+            let server = served_by.map_or("", |served_by| served_by.0.as_str());
+            log::info!(id = id.as_str(), route, organisation, server, status, version, ms; "request answered");
             response
         }
         Err(refused) => {
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod lending;
 mod messages;
+mod settle;
 mod witness;
 
 use std::{
@@ -29,7 +30,11 @@
 use tokio::sync::Notify;
 
 use self::account::{Account, State};
-pub(crate) use self::messages::{Ask, Ticket, Verdict};
+use self::settle::{Place, send};
+pub(crate) use self::{
+    messages::{Ask, Ticket, Verdict},
+    settle::Held,
+};
 
 use crate::{
     clock::Clock,
@@ -65,13 +70,6 @@
 const REPLY_AGE_MS: u64 = 700;
 /// Homes tried for one reservation.
 const MAX_HOMES: usize = 3;
-/// Time between two groups of settlements to homes, in milliseconds.
-const SETTLE_GROUP_MS: u64 = 100;
-/// Times that settlements and vouchers are sent.
-const SEND_TRIES: u32 = 3;
-/// A reservation of another router that is older counts as spent, in
-/// milliseconds: longer than any request lasts.
-const TICKET_AGE_MS: u64 = 60_000;
 
 /// Why tokens could not be set aside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,9 +156,11 @@
         treasury
     }
 
-    /// Sets `tokens` of an organisation aside, at its home.
+    /// Sets `tokens` of an organisation aside, at its home, for the request
+    /// that is called `id` in logs.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
+        id: &str,
         organisation: &OrganisationName,
         paid: u64,
         tokens: u64,
@@ -189,9 +189,13 @@
                         verdict
                     }
                     // Whatever was set aside is given back when `held` goes.
-                    None => continue,
+                    None => {
+                        log::info!(id, organisation = organisation.as_str(), tokens, home = home.vm.as_str(); "home did not answer");
+                        continue;
+                    }
                 }
             };
+            log::info!(id, organisation = organisation.as_str(), tokens, home = home.vm.as_str(), verdict:? = verdict; "tokens were not set aside");
             match verdict {
                 Verdict::Exhausted => return Err(Denied::Exhausted),
                 Verdict::Elsewhere => {}
@@ -247,34 +251,6 @@
         }
     }
 
-    /// Ends other routers' reservations.
-    pub(crate) fn settle_for(&self, settlements: &[(Ticket, u64)]) {
-        for (ticket, used) in settlements {
-            let found = lock(&self.tickets).remove(ticket);
-            if let Some((organisation, reservation, _)) = found {
-                self.settle_here(&organisation, reservation, *used);
-            }
-        }
-        self.expire_tickets();
-    }
-
-    fn expire_tickets(&self) {
-        let age = Duration::from_millis(TICKET_AGE_MS);
-        let old: Vec<Ticket> = lock(&self.tickets)
-            .iter()
-            .filter(|(_, (_, _, since))| since.elapsed() > age)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in old {
-            let found = lock(&self.tickets).remove(&ticket);
-            if let Some((organisation, reservation, _)) = found {
-                let tokens = reservation.tokens();
-                log::warn!(organisation = organisation.as_str(), tokens; "reservation was never settled; it counts as spent");
-                self.settle_here(&organisation, reservation, tokens);
-            }
-        }
-    }
-
     fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
@@ -365,18 +341,44 @@
         tokens: u64,
     ) -> Result<Reservation, Denied> {
         let account = self.account(organisation);
+        let reserved = self.reserve_in(&account, paid, tokens).await;
+        if let Err(denied) = &reserved {
+            let cut_off = account.cut_off.load(Ordering::Relaxed);
+            let state = account.lock();
+            let reply = state.reply.as_ref();
+            log::info!(
+                organisation = organisation.as_str(),
+                tokens,
+                denied:? = denied,
+                spendable = state.wallet.spendable(&account.budget),
+                free = reply.map(|reply| reply.free),
+                others = reply.map(|reply| reply.held_by_others),
+                reply_age_ms = self.clock.now_ms().saturating_sub(state.replied_ms),
+                cut_off;
+                "reservation denied"
+            );
+        }
+        reserved
+    }
+
+    async fn reserve_in(
+        self: &Arc<Self>,
+        account: &Arc<Account>,
+        paid: u64,
+        tokens: u64,
+    ) -> Result<Reservation, Denied> {
         let until = tokio::time::Instant::now() + Duration::from_millis(self.settings.wait_ms);
         let replies = account.lock().replies;
         loop {
             let refilled = account.refilled.notified();
-            match self.try_reserve(&account, paid, tokens, replies) {
+            match self.try_reserve(account, paid, tokens, replies) {
                 Tried::Held(reservation) => {
-                    self.raise_ahead(&account);
+                    self.raise_ahead(account);
                     return Ok(reservation);
                 }
                 Tried::Exhausted => return Err(Denied::Exhausted),
                 Tried::Unwitnessed(needed) => {
-                    if !self.raise(&account, needed).await {
+                    if !self.raise(account, needed).await {
                         return Err(Denied::Short);
                     }
                     continue;
@@ -385,7 +387,7 @@
                 Tried::Short => account.refill.notify_one(),
             }
             let cut_off = account.cut_off.load(Ordering::Relaxed);
-            if cut_off && !self.borrow(&account, paid, tokens).await {
+            if cut_off && !self.borrow(account, paid, tokens).await {
                 return Err(Denied::CutOff);
             }
             if !cut_off && tokio::time::timeout_at(until, refilled).await.is_err() {
@@ -439,83 +441,4 @@
             }
         }
     }
-
-    /// Sends settlements to homes, in groups, until the process ends.
-    async fn send_settlements(self: Arc<Self>) {
-        loop {
-            self.settle.notified().await;
-            tokio::time::sleep(Duration::from_millis(SETTLE_GROUP_MS)).await;
-            let groups: Vec<_> = lock(&self.outbox).drain().map(|(_, group)| group).collect();
-            for (home, settlements) in groups {
-                tokio::spawn(send_group(self.peers.clone(), home, settlements));
-            }
-        }
-    }
-
-    /// Whether other routers still have reservations here.
-    pub(crate) fn has_tickets(&self) -> bool {
-        !lock(&self.tickets).is_empty()
-    }
-}
-
-async fn send_group(peers: Arc<Peers>, home: Member, settlements: Vec<(Ticket, u64)>) {
-    send(&peers, &home, &Ask::Settle(settlements)).await;
-}
-
-/// Sends what must arrive, a few times until it is acknowledged. The receiver
-/// takes a repeated message in once.
-async fn send(peers: &Peers, home: &Member, ask: &Ask) {
-    for _ in 0..SEND_TRIES {
-        let timeout = Duration::from_millis(ASK_SLACK_MS * 2);
-        if peers.ask::<_, bool>(home, ask, timeout).await.is_ok() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(SETTLE_GROUP_MS)).await;
-    }
-    log::warn!(home = home.vm.as_str(); "tokens could not be delivered; they count as spent");
-}
-
-enum Place {
-    Here(OrganisationName, Reservation),
-    At(Member, Ticket),
-}
-
-/// Tokens set aside for a request. Dropping it settles what was used.
-pub(crate) struct Held {
-    treasury: Arc<Treasury>,
-    place: Option<Place>,
-    used: u64,
-}
-
-impl Held {
-    /// Notes the tokens used in all.
-    pub(crate) fn set_used(&mut self, tokens: u64) {
-        self.used = tokens;
-    }
-
-    /// Lets go of a reservation that the home did not make.
-    fn forget(mut self) {
-        self.place = None;
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        match self.place.take() {
-            None => {}
-            Some(Place::Here(organisation, reservation)) => {
-                self.treasury
-                    .settle_here(&organisation, reservation, self.used);
-            }
-            Some(Place::At(home, ticket)) => {
-                let mut outbox = lock(&self.treasury.outbox);
-                let group = outbox
-                    .entry(home.vm.clone())
-                    .or_insert_with(|| (home, Vec::new()));
-                group.1.push((ticket, self.used));
-                drop(outbox);
-                self.treasury.settle.notify_one();
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/peridotslip-edge/src/treasury/settle.rs
@@ -0,0 +1,126 @@
+//! Ending reservations: at this router, or at another one that is home.
+
+use std::{sync::Arc, time::Duration};
+
+use peridotslip::{ids::OrganisationName, ledger::Reservation};
+
+use super::{ASK_SLACK_MS, Ask, Ticket, Treasury, lock};
+use crate::peers::{Member, Peers};
+
+/// Time between two groups of settlements to homes, in milliseconds.
+const SETTLE_GROUP_MS: u64 = 100;
+/// Times that settlements and vouchers are sent.
+const SEND_TRIES: u32 = 3;
+/// A reservation of another router that is older counts as spent, in
+/// milliseconds: longer than any request lasts.
+const TICKET_AGE_MS: u64 = 60_000;
+
+impl Treasury {
+    /// Ends other routers' reservations.
+    pub(crate) fn settle_for(&self, settlements: &[(Ticket, u64)]) {
+        for (ticket, used) in settlements {
+            let found = lock(&self.tickets).remove(ticket);
+            if let Some((organisation, reservation, _)) = found {
+                self.settle_here(&organisation, reservation, *used);
+            }
+        }
+        self.expire_tickets();
+    }
+
+    fn expire_tickets(&self) {
+        let age = Duration::from_millis(TICKET_AGE_MS);
+        let old: Vec<Ticket> = lock(&self.tickets)
+            .iter()
+            .filter(|(_, (_, _, since))| since.elapsed() > age)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in old {
+            let found = lock(&self.tickets).remove(&ticket);
+            if let Some((organisation, reservation, _)) = found {
+                let tokens = reservation.tokens();
+                log::warn!(organisation = organisation.as_str(), tokens; "reservation was never settled; it counts as spent");
+                self.settle_here(&organisation, reservation, tokens);
+            }
+        }
+    }
+
+    /// Sends settlements to homes, in groups, until the process ends.
+    pub(super) async fn send_settlements(self: Arc<Self>) {
+        loop {
+            self.settle.notified().await;
+            tokio::time::sleep(Duration::from_millis(SETTLE_GROUP_MS)).await;
+            let groups: Vec<_> = lock(&self.outbox).drain().map(|(_, group)| group).collect();
+            for (home, settlements) in groups {
+                tokio::spawn(send_group(self.peers.clone(), home, settlements));
+            }
+        }
+    }
+
+    /// Whether other routers still have reservations here.
+    pub(crate) fn has_tickets(&self) -> bool {
+        !lock(&self.tickets).is_empty()
+    }
+}
+
+async fn send_group(peers: Arc<Peers>, home: Member, settlements: Vec<(Ticket, u64)>) {
+    send(&peers, &home, &Ask::Settle(settlements)).await;
+}
+
+/// Sends what must arrive, a few times until it is acknowledged. The receiver
+/// takes a repeated message in once.
+pub(super) async fn send(peers: &Peers, home: &Member, ask: &Ask) {
+    for _ in 0..SEND_TRIES {
+        let timeout = Duration::from_millis(ASK_SLACK_MS * 2);
+        if peers.ask::<_, bool>(home, ask, timeout).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(SETTLE_GROUP_MS)).await;
+    }
+    log::warn!(home = home.vm.as_str(); "tokens could not be delivered; they count as spent");
+}
+
+/// Where tokens are set aside.
+pub(super) enum Place {
+    Here(OrganisationName, Reservation),
+    At(Member, Ticket),
+}
+
+/// Tokens set aside for a request. Dropping it settles what was used.
+pub(crate) struct Held {
+    pub(super) treasury: Arc<Treasury>,
+    pub(super) place: Option<Place>,
+    pub(super) used: u64,
+}
+
+impl Held {
+    /// Notes the tokens used in all.
+    pub(crate) fn set_used(&mut self, tokens: u64) {
+        self.used = tokens;
+    }
+
+    /// Lets go of a reservation that the home did not make.
+    pub(super) fn forget(mut self) {
+        self.place = None;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        match self.place.take() {
+            None => {}
+            Some(Place::Here(organisation, reservation)) => {
+                self.treasury
+                    .settle_here(&organisation, reservation, self.used);
+            }
+            Some(Place::At(home, ticket)) => {
+                let mut outbox = lock(&self.treasury.outbox);
+                let group = outbox
+                    .entry(home.vm.clone())
+                    .or_insert_with(|| (home, Vec::new()));
+                group.1.push((ticket, self.used));
+                drop(outbox);
+                self.treasury.settle.notify_one();
+            }
+        }
+    }
+}
