--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -391,7 +391,9 @@
                 return Err(Denied::CutOff);
             }
             if !cut_off && tokio::time::timeout_at(until, refilled).await.is_err() {
-                return Err(Denied::Short);
+                // A store that doesn't answer in time is as good as away.
+                let answered = account.lock().replies > replies;
+                return Err(if answered { Denied::Short } else { Denied::CutOff });
             }
         }
     }
