--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -127,7 +127,7 @@
         Self {
             horizon_ms: 12_000,
             most_percent: 80,
-            settle_ms: 1_000,
+            settle_ms: 2_000,
             wait_ms: 250,
         }
     }
