--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -393,7 +393,11 @@
             if !cut_off && tokio::time::timeout_at(until, refilled).await.is_err() {
                 // A store that doesn't answer in time is as good as away.
                 let answered = account.lock().replies > replies;
-                return Err(if answered { Denied::Short } else { Denied::CutOff });
+                return Err(if answered {
+                    Denied::Short
+                } else {
+                    Denied::CutOff
+                });
             }
         }
     }
--- a/crates/peridotslip-edge/src/treasury/lending.rs
+++ b/crates/peridotslip-edge/src/treasury/lending.rs
@@ -101,6 +101,30 @@
         }
     }
 
+    /// Hands what is at hand over to the home, where it is asked for, if this
+    /// router is not the home and can't give it back to the store.
+    pub(super) async fn pass_to_home(&self, account: &Account) {
+        if self.is_leaving() || self.is_home(&account.organisation) {
+            return;
+        }
+        let ranked = self.peers.ranked(account.organisation.as_str(), false);
+        let Some(home) = ranked.into_iter().next() else {
+            return;
+        };
+        let at_hand = account.lock().wallet.spendable(&account.budget);
+        if at_hand == 0 {
+            return;
+        }
+        if let Some(voucher) = self.issue(account, at_hand).await {
+            log::info!(budget = account.budget.as_str(), home = home.vm.as_str(), tokens = voucher.tokens; "passing tokens to the home while the store is away");
+            let ask = Ask::Take {
+                incarnation: home.incarnation,
+                vouchers: vec![(account.organisation.clone(), voucher)],
+            };
+            send(&self.peers, &home, &ask).await;
+        }
+    }
+
     /// Hands everything that can be spent over to the next homes.
     pub(super) async fn hand_over(self: &Arc<Self>) {
         let accounts: Vec<_> = lock(&self.accounts).values().cloned().collect();
