--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -9,11 +9,13 @@
 mod index;
 mod placement;
 mod retry_budget;
+mod server;
 mod table;
 
 pub use self::{
     index::{Lookup, RoutingIndex},
-    placement::{Demand, End, LoadReport, Placement, Server, ServerId, ServerState},
+    placement::Placement,
     retry_budget::RetryBudget,
+    server::{Demand, End, LoadReport, Server, ServerId, ServerState},
     table::{CallerLimits, EngineTraits, Organisation, Repeat, Route, RoutingTable, Service},
 };
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -8,13 +8,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use serde::{Deserialize, Serialize};
-
+use super::{Demand, End, LoadReport, Server, ServerId, ServerState};
 use crate::members::rank;
 
-/// A server's name, new at each registration.
-pub type ServerId = String;
-
 /// Prompt tokens that an engine reads in a millisecond, for weighing cached
 /// tokens against load.
 const PREFILL_TOKENS_PER_MS: f64 = 32.4;
@@ -43,85 +39,6 @@
 /// Prompt parts that a router remembers for each engine.
 const MAX_PARTS: usize = 512;
 
-/// Whether a server takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ServerState {
-    /// Takes requests.
-    Ready,
-    /// Finishes what it has.
-    Draining,
-}
-
-/// A server's entry in the directory.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct Server {
-    /// Its name.
-    pub id: ServerId,
-    /// The service that it belongs to.
-    pub service: String,
-    /// `IP:port`.
-    pub address: String,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub state: ServerState,
-    /// When it started, in milliseconds since the epoch; 0 if it doesn't say.
-    pub started_ms: u64,
-}
-
-/// What a server says of its load with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Requests that it runs at once.
-    pub slots: u32,
-}
-
-/// What a request needs, as far as the choice depends on it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Demand {
-    /// Prompt parts in order: identity and tokens.
-    pub parts: Vec<(u64, u64)>,
-    /// Prompt tokens in all.
-    pub prompt_tokens: u64,
-}
-
-impl Demand {
-    /// The part that later requests of the same session begin with: the last
-    /// that is not the request's own.
-    #[must_use]
-    pub fn affinity(&self) -> Option<u64> {
-        let shared = self.parts.len().saturating_sub(2);
-        self.parts.get(shared).map(|(id, _)| *id)
-    }
-
-    fn work(&self, cached: u64) -> u64 {
-        self.prompt_tokens.saturating_sub(cached)
-    }
-}
-
-/// How a send ended, as far as it tells of the server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The server answered.
-    Answered,
-    /// The server had no room.
-    Full,
-    /// The server is another one than the directory says, or has gone.
-    Gone,
-    /// The server could not be reached, broke off or was silent.
-    Failed,
-    /// The caller or this router gave up.
-    Neutral,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Parts {
     last_used: HashMap<u64, u64>,
--- /dev/null
+++ b/crates/peridotslip/src/ledger/wallet/purse.rs
@@ -0,0 +1,242 @@
+//! One budget's figures in a wallet, and what to ask for ahead of needs.
+
+use super::{BudgetReport, Voucher};
+use crate::ids::BudgetName;
+
+/// Fewest free tokens at the record for which a wallet asks ahead of need.
+const MIN_WISH: u64 = 64;
+/// Shortest time over which spending is averaged, in milliseconds.
+const MIN_RATE_AGE_MS: u64 = 1_000;
+/// Time constant of the spend-rate estimate, in milliseconds.
+const RATE_WINDOW_MS: u64 = 5_000;
+/// How far ahead of its spending a wallet keeps grants by default, in
+/// milliseconds.
+const HORIZON_MS: u64 = 2_000;
+/// Share of what is free at the record that a wish may take by default, in
+/// percent, so that the last tokens of a budget are not held idle.
+const WISH_PERCENT: u8 = 12;
+
+/// How much a wallet asks for ahead of its needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forecast {
+    /// How long grants should last at the present rate, in milliseconds.
+    pub horizon_ms: u64,
+    /// Most of what is free at the record that one wish may take, in percent.
+    pub share_percent: u8,
+    /// Spare tokens to hold even while little is spent, as a share of what was
+    /// paid, in percent.
+    pub floor_percent: u8,
+    /// Most spare tokens to hold while all that was paid is unspent, as a
+    /// share of it, in percent; it falls with the square of what is left. It
+    /// bounds what is lost with the router.
+    pub most_percent: u8,
+}
+
+impl Default for Forecast {
+    fn default() -> Self {
+        Self {
+            horizon_ms: HORIZON_MS,
+            share_percent: WISH_PERCENT,
+            floor_percent: 0,
+            most_percent: 100,
+        }
+    }
+}
+
+/// A wallet's share of one budget. Cumulative tokens, but for `reserved`.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Purse {
+    pub(super) paid: u64,
+    pub(super) granted: u64,
+    pub(super) returned: u64,
+    pub(super) spent: u64,
+    pub(super) reserved: u64,
+    /// Most that may be used of the grant over the wallet's life; `None` if
+    /// nobody bounds it.
+    pub(super) ceiling: Option<u64>,
+    /// Vouchers of other wallets that are in use.
+    pub(super) vouchers: Vec<Borrowed>,
+    /// Tokens that waiting requests lack, in all and for the smallest.
+    pub(super) lacking: u64,
+    pub(super) least_lacking: u64,
+    /// Whether other wallets are short.
+    pub(super) recall: bool,
+    /// Spend per second, exponentially averaged.
+    pub(super) rate: f64,
+    pub(super) rate_at_ms: u64,
+    /// When spending began.
+    pub(super) rate_since_ms: Option<u64>,
+    /// Tokens that the record had free when last heard of.
+    pub(super) free_at_record: u64,
+    /// The `paid` figure that the record is known to hold.
+    pub(super) recorded_paid: u64,
+    /// The `returned` figure that the record is known to hold.
+    pub(super) recorded_returned: u64,
+}
+
+/// A voucher and what has been spent of it.
+#[derive(Clone, Debug)]
+pub(super) struct Borrowed {
+    pub(super) voucher: Voucher,
+    pub(super) spent: u64,
+}
+
+impl Borrowed {
+    pub(super) fn left(&self) -> u64 {
+        self.voucher.tokens - self.spent
+    }
+}
+
+impl Purse {
+    pub(super) fn spendable(&self) -> u64 {
+        self.own_left() + self.borrowed_left() - self.reserved
+    }
+
+    /// Tokens of the wallet's own grant that are not spent or given back.
+    pub(super) fn own_left(&self) -> u64 {
+        self.granted - self.returned - self.spent
+    }
+
+    pub(super) fn borrowed_left(&self) -> u64 {
+        self.vouchers.iter().map(Borrowed::left).sum()
+    }
+
+    /// Tokens of the wallet's own grant that no running request may need.
+    pub(super) fn own_spare(&self) -> u64 {
+        let needed = self.reserved.saturating_sub(self.borrowed_left());
+        self.own_left() - needed.min(self.own_left())
+    }
+
+    /// Most that has been used of the grant over the wallet's life, running
+    /// requests included. Vouchers may have paid for a part of these.
+    pub(super) fn used_at_most(&self) -> u64 {
+        self.spent + self.reserved
+    }
+
+    /// Spends out of vouchers as far as they reach and returns the rest.
+    pub(super) fn spend_borrowed(&mut self, tokens: u64) -> u64 {
+        let mut rest = tokens;
+        for borrowed in &mut self.vouchers {
+            let part = rest.min(borrowed.left());
+            borrowed.spent += part;
+            rest -= part;
+        }
+        rest
+    }
+
+    /// Takes out the vouchers that the running requests don't need.
+    pub(super) fn take_spare_vouchers(&mut self) -> Vec<Borrowed> {
+        let mut spare = Vec::new();
+        let mut kept = Vec::new();
+        let mut free = self.spendable();
+        for borrowed in std::mem::take(&mut self.vouchers) {
+            if borrowed.left() <= free {
+                free -= borrowed.left();
+                spare.push(borrowed);
+            } else {
+                kept.push(borrowed);
+            }
+        }
+        self.vouchers = kept;
+        spare
+    }
+
+    /// Notes that a waiting request lacks tokens.
+    pub(super) fn lack(&mut self, tokens: u64) {
+        self.least_lacking = match self.lacking {
+            0 => tokens,
+            _ => self.least_lacking.min(tokens),
+        };
+        self.lacking += tokens;
+    }
+
+    pub(super) fn forget_needs(&mut self) {
+        self.lacking = 0;
+        self.least_lacking = 0;
+    }
+
+    pub(super) fn note_spend(&mut self, tokens: u64, now_ms: u64) {
+        self.decay(now_ms);
+        self.rate_since_ms.get_or_insert(now_ms);
+        self.rate += as_f64(tokens) * 1_000.0 / as_f64(RATE_WINDOW_MS);
+    }
+
+    pub(super) fn decay(&mut self, now_ms: u64) {
+        let elapsed = now_ms.saturating_sub(self.rate_at_ms);
+        self.rate *= (-as_f64(elapsed) / as_f64(RATE_WINDOW_MS)).exp();
+        self.rate_at_ms = self.rate_at_ms.max(now_ms);
+    }
+
+    /// Spare tokens that cover the near future.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(super) fn cushion(&self, forecast: Forecast) -> u64 {
+        if self.recall {
+            return 0;
+        }
+        let expected = (self.unbiased_rate() * as_f64(forecast.horizon_ms) / 1_000.0) as u64;
+        let floor = self.paid / 100 * u64::from(forecast.floor_percent);
+        let reach = if self.recorded_paid == 0 {
+            self.paid
+        } else {
+            self.free_at_record + self.own_spare()
+        };
+        // The scarcer the tokens, the smaller the part of them at risk: what
+        // is lost with the router is missed most when little is left.
+        let left = as_f64(reach) / as_f64(self.paid.max(1));
+        let most = as_f64(reach) * left * f64::from(forecast.most_percent) / 100.0;
+        expected.max(floor).min(most as u64)
+    }
+
+    /// Spend per second, corrected for an average that has not yet run over
+    /// its whole window.
+    pub(super) fn unbiased_rate(&self) -> f64 {
+        let age = self
+            .rate_since_ms
+            .map_or(0, |since| self.rate_at_ms.saturating_sub(since));
+        let age = age.max(MIN_RATE_AGE_MS);
+        self.rate / (1.0 - (-as_f64(age) / as_f64(RATE_WINDOW_MS)).exp())
+    }
+
+    pub(super) fn give_back(&mut self, forecast: Forecast) {
+        let cushion = self.cushion(forecast);
+        // While others are short, a spare that is too small for the waiting
+        // requests here may complete what another wallet lacks.
+        let kept = if self.recall { 0 } else { self.lacking };
+        let spare = self.own_spare().saturating_sub(kept);
+        if spare > cushion.saturating_mul(2) {
+            self.returned += spare - cushion;
+        }
+    }
+
+    pub(super) fn position(&self, budget: &BudgetName, forecast: Forecast) -> BudgetReport {
+        let reserved = self.reserved.saturating_sub(self.borrowed_left());
+        let base = self.returned + self.spent + reserved;
+        let need = base + self.lacking;
+        BudgetReport {
+            budget: budget.clone(),
+            paid: self.paid,
+            need,
+            least: base + self.least_lacking,
+            want: need + self.cushion(forecast),
+            wish_percent: forecast.share_percent,
+            returned: self.returned,
+        }
+    }
+
+    pub(super) fn is_low(&self, forecast: Forecast) -> bool {
+        self.free_at_record >= MIN_WISH && self.spendable() < self.cushion(forecast) / 4 * 3
+    }
+
+    /// Whether the record should hear of this purse.
+    pub(super) fn needs_report(&self, forecast: Forecast) -> bool {
+        self.is_low(forecast)
+            || self.lacking > 0
+            || self.paid > self.recorded_paid
+            || self.returned > self.recorded_returned
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(value: u64) -> f64 {
+    value as f64
+}
