--- a/crates/peridotslip-cli/src/commands/tables.rs
+++ b/crates/peridotslip-cli/src/commands/tables.rs
@@ -109,11 +109,13 @@
     format.print(
         &json!({ "revision": revision, "in_force": in_force }),
         || {
-            let routers: String = in_force
-                .iter()
-                .map(|router| format!("in force at {router}\n"))
-                .collect();
-            format!("accepted as revision {revision}\n{routers}")
+            let mut text = format!("accepted as revision {revision}\n");
+            for router in &in_force {
+                text += "in force at ";
+                text += router;
+                text += "\n";
+            }
+            text
         },
     );
     Ok(ExitCode::SUCCESS)
@@ -137,9 +139,10 @@
         }));
     }
     format.print(&rows, || {
-        rows.iter()
-            .map(|row| format!("{}\t{}\t{}\n", row["revision"], row["author"], row["note"]))
-            .collect()
+        let line = |row: &serde_json::Value| {
+            format!("{}\t{}\t{}\n", row["revision"], row["author"], row["note"])
+        };
+        rows.iter().map(line).collect::<Vec<String>>().concat()
     });
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/peridotslip-daemon/src/controllers/config.rs
+++ b/crates/peridotslip-daemon/src/controllers/config.rs
@@ -194,26 +194,30 @@
     }
 }
 
-async fn fetch_from_peer(client: &PeerClient, peer: &str, handle: &ConfigHandle) -> Option<Offer> {
+async fn fetch_from_peer(
+    client: &PeerClient,
+    address: &str,
+    handle: &ConfigHandle,
+) -> Option<Offer> {
     let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-    let Ok(Answer::Head(Some(head))) = client.ask(peer, &Ask::Head, timeout).await else {
+    let Ok(Answer::Head(Some(head))) = client.ask(address, &Ask::Head, timeout).await else {
         return None;
     };
     let head = Head::decode(&head).ok()?;
-    let held = handle
+    let known = handle
         .held()
         .offer
         .map(|offer| offer.pages)
         .unwrap_or_default();
-    let missing = |id: &&String| !held.contains_key(*id);
+    let missing = |id: &&String| !known.contains_key(*id);
     let ids: Vec<String> = head.page_ids().filter(missing).cloned().collect();
     let ask = Ask::Pages { ids };
-    let Ok(Answer::Pages(fetched)) = client.ask(peer, &ask, timeout).await else {
+    let Ok(Answer::Pages(fetched)) = client.ask(address, &ask, timeout).await else {
         return None;
     };
     let mut pages: HashMap<String, Vec<u8>> = fetched.into_iter().collect();
     for id in head.page_ids() {
-        if let Some(bytes) = held.get(id) {
+        if let Some(bytes) = known.get(id) {
             pages.insert(id.clone(), bytes.clone());
         }
     }
@@ -221,14 +225,14 @@
     Some(Offer { head, pages })
 }
 
-/// Fetches the pages that are not held yet and offers the whole.
+/// Fetches the pages that are not known yet and offers the whole.
 async fn fetch<S: Store>(
     tables: &TableStore<S>,
     handle: &ConfigHandle,
     head: Head,
     metrics: &Metrics,
 ) -> Result<(), TableError> {
-    let held = handle
+    let known = handle
         .held()
         .offer
         .map(|offer| offer.pages)
@@ -238,7 +242,7 @@
         if pages.contains_key(id) {
             continue;
         }
-        let bytes = if let Some(bytes) = held.get(id) {
+        let bytes = if let Some(bytes) = known.get(id) {
             bytes.clone()
         } else {
             metrics.store_call("read");
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -225,14 +225,14 @@
     }
 
     /// Keeps the connection for another request, its answer having been read
-    /// whole. `idle_s` is how long the server keeps it.
-    pub(crate) fn keep(mut self, idle_s: Option<u64>) {
-        let idle_ms = idle_s.map_or(DEFAULT_IDLE_MS, |seconds| seconds * 1_000);
-        let idle = Duration::from_millis(idle_ms.saturating_sub(IDLE_MARGIN_MS));
+    /// whole. `limit_s` is how long the server keeps it idle.
+    pub(crate) fn keep(mut self, limit_s: Option<u64>) {
+        let idle_ms = limit_s.map_or(DEFAULT_IDLE_MS, |seconds| seconds * 1_000);
+        let kept = Duration::from_millis(idle_ms.saturating_sub(IDLE_MARGIN_MS));
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if sender.is_closed() || idle.is_zero() {
+        if sender.is_closed() || kept.is_zero() {
             self.task.abort();
             return;
         }
@@ -240,7 +240,7 @@
             pool.idle.push(Idle {
                 sender,
                 task: self.task.clone(),
-                until: Instant::now() + idle,
+                until: Instant::now() + kept,
             });
         } else {
             self.task.abort();
--- a/crates/peridotslip-standins/src/experiment/routing.rs
+++ b/crates/peridotslip-standins/src/experiment/routing.rs
@@ -122,9 +122,9 @@
     // In flight by router and engine, now and at the report's time.
     let mut in_flight = vec![vec![0_u32; ENGINES]; ROUTERS];
     let mut past: VecDeque<(u64, Vec<Vec<u32>>)> = VecDeque::new();
-    let mut waits: Vec<u64> = Vec::new();
+    let mut first_bytes: Vec<u64> = Vec::new();
     let (mut due, mut good, mut warm, mut count) = (0.0, 0_u64, 0_u64, 0_u64);
-    let mut gates: Vec<Gate> = (0..ROUTERS).map(|_| Gate::default()).collect();
+    let mut admission: Vec<Gate> = (0..ROUTERS).map(|_| Gate::default()).collect();
     let mut waiting: HashMap<u64, (u64, u64)> = HashMap::new();
     let mut ready: Vec<(usize, u64, u64)> = Vec::new();
     let mut ended: Vec<usize> = Vec::new();
@@ -149,7 +149,7 @@
                 class: DeadlineClass::Standard,
                 due_ms: now_ms + DEADLINE_MS,
             };
-            let decisions = gates[router].arrive(arrival, now_ms);
+            let decisions = admission[router].arrive(arrival, now_ms);
             refused += take(&mut waiting, &mut ready, decisions, router);
         }
         for (router, prefix, arrived_ms) in ready.drain(..) {
@@ -189,9 +189,9 @@
                 warm += u64::from(read_ms == WARM_MS);
                 let wait_ms = now_ms + read_ms - request.arrived_ms;
                 good += u64::from(wait_ms <= DEADLINE_MS);
-                waits.push(wait_ms);
+                first_bytes.push(wait_ms);
                 let elapsed_ms = now_ms + read_ms - request.started_ms;
-                gates[request.router].first_byte(elapsed_ms, DEADLINE_MS);
+                admission[request.router].first_byte(elapsed_ms, DEADLINE_MS);
                 let until_ms = now_ms + read_ms + ANSWER_TOKENS * TOKEN_MS;
                 engine.running.push((until_ms, request.router));
             }
@@ -205,7 +205,7 @@
             }
         }
         for router in ended.drain(..) {
-            let decisions = gates[router].finish(now_ms);
+            let decisions = admission[router].finish(now_ms);
             refused += take(&mut waiting, &mut ready, decisions, router);
         }
         if now_ms.is_multiple_of(50) {
@@ -215,8 +215,8 @@
             }
         }
     }
-    waits.sort_unstable();
-    let quantile = |percent: usize| waits.get(waits.len() * percent / 100).copied();
+    first_bytes.sort_unstable();
+    let quantile = |percent: usize| first_bytes.get(first_bytes.len() * percent / 100).copied();
     let line = json!({
         "policy": policy.name(),
         "gated": gated,
@@ -226,7 +226,7 @@
         "first_token_p50_ms": quantile(50),
         "first_token_p95_ms": quantile(95),
         "good_per_s": good * 1_000 / DURATION_MS,
-        "warm_percent": warm * 100 / (waits.len() as u64).max(1),
+        "warm_percent": warm * 100 / (first_bytes.len() as u64).max(1),
     });
     println!("{line}");
 }
--- a/crates/peridotslip-standins/src/experiment/size.rs
+++ b/crates/peridotslip-standins/src/experiment/size.rs
@@ -69,7 +69,7 @@
         })
         .collect();
     let places: HashMap<String, usize> = (0..routers).map(|n| (node(n).address, n)).collect();
-    let (mut sent, mut spent) = (0, Duration::ZERO);
+    let (mut sent, mut busy) = (0, Duration::ZERO);
     for round in 1..=SETTLE_ROUNDS + ROUNDS {
         let now_ms = round * PROBE_EVERY_MS;
         let counted = round > SETTLE_ROUNDS;
@@ -91,21 +91,21 @@
             fleet[prober].hear(&answer, now_ms);
             fleet[prober].answered(&address, now_ms);
             if counted {
-                spent += begin.elapsed();
+                busy += begin.elapsed();
                 sent += bytes(&said) + bytes(&answer) + FRAMING_BYTES;
             }
         }
     }
     let count = routers as u64 * ROUNDS;
-    let live = fleet[0].live().count();
+    let known = fleet[0].live().count();
     let state = bytes(&fleet[0].all_rumours());
     let line = json!({
         "what": "membership",
         "routers": routers,
-        "known": live,
+        "known": known,
         // Each exchange is sent by one router and received by another.
         "bytes_per_s_each_way": per(sent, count) * 1_000.0 / per(PROBE_EVERY_MS, 1),
-        "cpu_us_per_s": per(micros(spent), count) * 2.0,
+        "cpu_us_per_s": per(micros(busy), count) * 2.0,
         "state_bytes": state,
     });
     println!("{line}");
