--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -117,11 +117,11 @@
     }
 
     fn accept(&self, account: &Account, report: &Report, reply: &ReportReply) {
-        if !report.witnesses.is_empty() {
-            lock(&account.witnesses).newest_is_named();
-        }
         let mut state = account.lock();
         state.wallet.accept(reply);
+        if state.wallet.witnesses_are_named() {
+            lock(&account.witnesses).newest_is_named();
+        }
         if let Some(grant) = reply.grants.first() {
             log::info!(
                 budget = account.budget.as_str(),
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -95,6 +95,8 @@
     closed_at_ms: Option<u64>,
     /// Who notes its ceilings; empty if nobody does.
     witnesses: Vec<Incarnation>,
+    /// Which choice of the incarnation they are.
+    witnesses_choice: u64,
 }
 
 /// An incarnation that holds a grant.
@@ -204,9 +206,11 @@
         if !report.address.is_empty() && applied.address != report.address {
             applied.address.clone_from(&report.address);
         }
-        if !report.witnesses.is_empty() {
+        if report.witnesses_choice > applied.witnesses_choice {
+            applied.witnesses_choice = report.witnesses_choice;
             applied.witnesses.clone_from(&report.witnesses);
         }
+        let witnesses_choice = applied.witnesses_choice;
         let closed = applied.closed_at_ms.is_some();
         let settled = report
             .settlements
@@ -232,6 +236,7 @@
             settled,
             claims,
             closed: closed || report.closed,
+            witnesses_choice,
         }
     }
 
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -120,6 +120,9 @@
     /// The routers that note ceilings for the reporter from now on; empty if
     /// nothing changes.
     pub witnesses: Vec<Incarnation>,
+    /// Which choice of witnesses this is, from 1, so that a report that comes
+    /// late does not bring an earlier choice back.
+    pub witnesses_choice: u64,
 }
 
 impl Report {
@@ -209,4 +212,6 @@
     /// Whether the record regards this incarnation as closed, after which it
     /// grants nothing to it.
     pub closed: bool,
+    /// Which choice of witnesses the record names; 0 if none.
+    pub witnesses_choice: u64,
 }
--- a/crates/peridotslip/src/ledger/wallet.rs
+++ b/crates/peridotslip/src/ledger/wallet.rs
@@ -66,6 +66,8 @@
     borrowed_outbox: BTreeMap<(Incarnation, u64), Settlement>,
     /// Routers that note ceilings, until a reply has come.
     witnesses: Vec<Incarnation>,
+    /// How often they have been chosen.
+    witnesses_choice: u64,
     /// Vouchers that have been taken in, so that none counts twice.
     seen_vouchers: HashSet<(Incarnation, u64)>,
     claims: BTreeMap<(RequestKey, u64), Claim>,
@@ -86,6 +88,7 @@
             outbox: BTreeMap::new(),
             borrowed_outbox: BTreeMap::new(),
             witnesses: Vec::new(),
+            witnesses_choice: 0,
             seen_vouchers: HashSet::new(),
             claims: BTreeMap::new(),
             last_seq: 0,
@@ -268,10 +271,17 @@
         purse.map_or(0, |purse| purse.unbiased_rate() as u64)
     }
 
+    /// Whether the record names the witnesses that were chosen last.
+    #[must_use]
+    pub fn witnesses_are_named(&self) -> bool {
+        self.witnesses.is_empty()
+    }
+
     /// Names the routers that note ceilings, with the next reports until a
     /// reply has come.
     pub fn set_witnesses(&mut self, witnesses: Vec<Incarnation>) {
         self.witnesses = witnesses;
+        self.witnesses_choice += 1;
     }
 
     /// Tokens that waiting requests of `budget` lack.
@@ -427,6 +437,11 @@
             claims: self.claims.values().copied().collect(),
             closed: self.closing && !self.closed,
             witnesses: self.witnesses.clone(),
+            witnesses_choice: if self.witnesses.is_empty() {
+                0
+            } else {
+                self.witnesses_choice
+            },
         }
     }
 
@@ -457,7 +472,7 @@
             .copied()
             .collect();
         self.closed |= reply.closed;
-        if reply.incarnation == self.incarnation {
+        if reply.witnesses_choice == self.witnesses_choice {
             self.witnesses.clear();
         }
         Accepted { settled, claims }
--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -123,7 +123,6 @@
 
 struct Replied {
     to: Incarnation,
-    named: bool,
     own: ReportReply,
     vouchers: Vec<ReportReply>,
 }
@@ -231,7 +230,6 @@
             .collect();
         self.replied.push(Replied {
             to: sent.from,
-            named: !sent.own.witnesses.is_empty(),
             own: self.record.apply(&sent.own, 0),
             vouchers,
         });
@@ -242,7 +240,7 @@
             return;
         }
         let at = message % self.replied.len();
-        let (to, named) = (self.replied[at].to, self.replied[at].named);
+        let to = self.replied[at].to;
         let own = self.replied[at].own.clone();
         let vouchers = self.replied[at].vouchers.clone();
         if let Some(process) = self.process(to) {
@@ -250,9 +248,7 @@
                 process.wallet.accept_voucher_reply(reply);
             }
             process.wallet.accept(&own);
-            // A reply to an earlier report may come late, when newer witnesses
-            // have been chosen: only the first such reply counts here.
-            if named && process.witnesses.binding(|_| true).len() == 2 {
+            if process.wallet.witnesses_are_named() {
                 process.witnesses.newest_is_named();
             }
         }
