Ask the record again when others held enough tokens

Cause: a log of the failing test (7 of 40 runs) shows that the home refused by a reply that was 602 ms old: free 95, held by others 15. The other router had given the 15 tokens back 1 ms after that reply. The word of the record was taken as true for 700 ms whatever others held. Change: where others held enough, the word counts for 250 ms, the time that a request waits for a reply.

--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -68,6 +68,10 @@
 /// How long a record's word that nothing is free is taken as it is, in
 /// milliseconds: settlements free tokens at the pace of reports.
 const REPLY_AGE_MS: u64 = 700;
+/// The same where others held enough for the request, in milliseconds: they
+/// may give it back at any time. As long as a request waits for a reply, so
+/// that a lasting shortage costs a call to the store in that time.
+const OTHERS_AGE_MS: u64 = 250;
 /// Homes tried for one reservation.
 const MAX_HOMES: usize = 3;
 
@@ -428,7 +432,9 @@
                 Tried::Held(reservation)
             }
             Reserve::Unwitnessed(needed) => Tried::Unwitnessed(needed),
-            Reserve::Short if fresh && left < tokens => Tried::Hopeless,
+            Reserve::Short if left < tokens && now_ms < state.short_until_ms(budget, tokens) => {
+                Tried::Hopeless
+            }
             Reserve::Short => Tried::Short,
         }
     }
--- a/crates/peridotslip-edge/src/treasury/account.rs
+++ b/crates/peridotslip-edge/src/treasury/account.rs
@@ -11,6 +11,8 @@
 };
 use tokio::sync::Notify;
 
+use super::{OTHERS_AGE_MS, REPLY_AGE_MS};
+
 /// One organisation's budget at this router.
 pub(super) struct Account {
     pub(super) organisation: OrganisationName,
@@ -56,6 +58,18 @@
         free.saturating_add(self.wallet.spendable(budget))
     }
 
+    /// Until when the record's last word is taken for it that `tokens` can't
+    /// be had, in milliseconds.
+    pub(super) fn short_until_ms(&self, budget: &BudgetName, tokens: u64) -> u64 {
+        let others = self.reply.as_ref().map_or(0, |reply| reply.held_by_others);
+        let age_ms = if self.left(budget).saturating_add(others) < tokens {
+            REPLY_AGE_MS
+        } else {
+            OTHERS_AGE_MS
+        };
+        self.replied_ms + age_ms
+    }
+
     /// Whether what was paid certainly doesn't cover `tokens`: nobody else
     /// holds any of it, and requests that are running use up to their bounds.
     pub(super) fn exhausted(&self, budget: &BudgetName, tokens: u64) -> bool {
