Let witnesses say that they have forgotten

The home was started at 22.6 s and chose witnesses of which all had been told to leave before it started, so it never heard of that; each answered false, and the set stayed binding. Ruled out: lost messages (the answers came within 4 ms, for 10 s), a holder declared dead (no such line in the log). Change: a witness that has ended or is leaving says so; its set can't free anything any more and binds no longer.

--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -127,11 +127,13 @@
         self.lock().len() + 1
     }
 
-    /// A router has said that it is about to end.
+    /// A run of a router has ended, or is about to.
     pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
         let mut peers = self.lock();
         let mut others = peers.values_mut();
-        if let Some(peer) = others.find(|peer| peer.member.incarnation == incarnation) {
+        if let Some(peer) = others.find(|peer| peer.member.incarnation == incarnation)
+            && !peer.leaving
+        {
             peer.leaving = true;
             log::info!(peer = peer.member.vm.as_str(); "router is leaving");
         }
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -27,7 +27,7 @@
     ports::Platform,
     rpc,
     settings::Settings,
-    treasury::{Ask, Treasury, Verdict},
+    treasury::{Ask, Noted, Treasury, Verdict},
 };
 
 /// Why the router could not run.
@@ -166,6 +166,7 @@
     Verdict(Verdict),
     Voucher(Option<Voucher>),
     Ceiling(Option<u64>),
+    Noted(Noted),
     Done(bool),
 }
 
@@ -201,7 +202,7 @@
             holder,
             budget,
             ceiling,
-        } => Answer::Done(shared.treasury.note_for(witness, holder, budget, ceiling)),
+        } => Answer::Noted(shared.treasury.note_for(witness, holder, budget, ceiling)),
         Ask::Ceiling {
             witness,
             holder,
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -32,7 +32,7 @@
 use self::account::{Account, State};
 use self::settle::{Place, send};
 pub(crate) use self::{
-    messages::{Ask, Ticket, Verdict},
+    messages::{Ask, Noted, Ticket, Verdict},
     settle::Held,
 };
 
--- a/crates/peridotslip-edge/src/treasury/messages.rs
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -67,3 +67,15 @@
     /// The router is leaving or can't reach the store; ask the next.
     Elsewhere,
 }
+
+/// Answers to [`Ask::Witness`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Noted {
+    /// The ceiling is noted.
+    Kept,
+    /// The holder has been declared dead.
+    Refused,
+    /// The run that was asked has ended or is about to: nothing that it noted
+    /// will ever be told.
+    Forgotten,
+}
--- a/crates/peridotslip-edge/src/treasury/witness.rs
+++ b/crates/peridotslip-edge/src/treasury/witness.rs
@@ -9,7 +9,7 @@
 };
 use tokio::task::JoinSet;
 
-use super::{ASK_SLACK_MS, Account, Ask, Treasury, exchange::Known, lock};
+use super::{ASK_SLACK_MS, Account, Ask, Noted, Treasury, exchange::Known, lock};
 use crate::{ports::Swap, registry, rpc};
 
 /// Witnesses of one budget. One suffices to go on; all are needed to free
@@ -78,23 +78,34 @@
         if ceiling.is_none_or(|ceiling| ceiling >= needed) {
             return true;
         }
-        let remembering = self.peers.remembering();
-        let sets = lock(&account.witnesses).binding(|witness| remembering.contains(&witness));
-        if sets.is_empty() {
-            account.lock().wallet.set_ceiling(&account.budget, None);
-            return true;
-        }
         let target = needed.max(used) + Self::step(account);
-        let mut noted = true;
-        for witnesses in &sets {
-            noted &= self.note(account, witnesses, target).await;
-        }
-        if noted {
-            account.lock().wallet.raise_ceiling(&account.budget, target);
-        } else {
-            log::warn!(budget = account.budget.as_str(), needed; "no witness notes the ceiling");
+        let mut asked = Vec::new();
+        loop {
+            // Witnesses turn out to have forgotten when they are asked.
+            let sets = self.binding(account);
+            if sets.is_empty() {
+                account.lock().wallet.set_ceiling(&account.budget, None);
+                return true;
+            }
+            if sets == asked {
+                log::warn!(budget = account.budget.as_str(), needed; "no witness notes the ceiling");
+                return false;
+            }
+            let mut noted = true;
+            for witnesses in &sets {
+                noted &= self.note(account, witnesses, target).await;
+            }
+            if noted {
+                account.lock().wallet.raise_ceiling(&account.budget, target);
+                return true;
+            }
+            asked = sets;
         }
-        noted
+    }
+
+    fn binding(&self, account: &Account) -> Vec<Vec<Incarnation>> {
+        let remembering = self.peers.remembering();
+        lock(&account.witnesses).binding(|witness| remembering.contains(&witness))
     }
 
     /// Raises the ceiling in the background if it is nearly reached.
@@ -127,8 +138,11 @@
             let peers = self.peers.clone();
             asks.spawn(async move {
                 let timeout = Duration::from_millis(ASK_SLACK_MS);
-                let noted: rpc::Result<bool> = peers.ask(&member, &ask, timeout).await;
-                noted == Ok(true)
+                let noted: rpc::Result<Noted> = peers.ask(&member, &ask, timeout).await;
+                if noted == Ok(Noted::Forgotten) {
+                    peers.set_leaving(member.incarnation);
+                }
+                noted == Ok(Noted::Kept)
             });
         }
         while let Some(noted) = asks.join_next().await {
@@ -140,18 +154,21 @@
         false
     }
 
-    /// Notes a ceiling for another router. `false` if this is not the run
-    /// that was asked, or the router has been declared dead.
+    /// Notes a ceiling for another router.
     pub(crate) fn note_for(
         &self,
         witness: Incarnation,
         holder: Incarnation,
         budget: BudgetName,
         ceiling: u64,
-    ) -> bool {
-        witness == self.peers.me().incarnation
-            && !self.is_leaving()
-            && lock(&self.ceilings).raise(holder, budget, ceiling)
+    ) -> Noted {
+        if witness != self.peers.me().incarnation || self.is_leaving() {
+            Noted::Forgotten
+        } else if lock(&self.ceilings).raise(holder, budget, ceiling) {
+            Noted::Kept
+        } else {
+            Noted::Refused
+        }
     }
 
     /// Tells what was noted for a dead router, and notes no more for it.
