Log the tokens that a stream used

Cause: the logs did not say what a request cost, so what a budget had lost could not be told from what was spent. Ruled out: taking it from the grants (what dead routers held counts there, spent or not). Change: "stream ended" tells the tokens billed.

--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -273,6 +273,7 @@
         id = cx.id(),
         outcome,
         events = progress.events,
+        tokens = cx.held.as_ref().map(|held| held.used()),
         first_ms,
         longest_gap_ms = longest_gap.as_millis(),
         ms = cx.arrived.elapsed().as_millis();
--- a/crates/peridotslip-edge/src/treasury/settle.rs
+++ b/crates/peridotslip-edge/src/treasury/settle.rs
@@ -98,6 +98,11 @@
         self.used = tokens;
     }
 
+    /// The tokens used in all.
+    pub(crate) fn used(&self) -> u64 {
+        self.used
+    }
+
     /// Lets go of a reservation that the home did not make.
     pub(super) fn forget(mut self) {
         self.place = None;
