--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     clock::Clock,
+    head_limit::InRequestGuard,
     metrics::Metrics,
     peers::Peers,
     ports::{CallerRequest, Platform},
@@ -136,24 +137,35 @@
 }
 
 /// Counts a request while it is open.
-pub(crate) struct OpenRequest(Arc<Shared>);
+pub(crate) struct OpenRequest {
+    shared: Arc<Shared>,
+    on_connection: InRequestGuard,
+}
 
 impl OpenRequest {
-    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: &Arc<Shared>, on_connection: InRequestGuard) -> Self {
         shared.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(shared.clone())
+        Self {
+            shared: shared.clone(),
+            on_connection,
+        }
+    }
+
+    /// The rest of the request will not be read, so no head can follow.
+    pub(crate) fn abandon_connection(&mut self) {
+        self.on_connection.keep();
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 /// A request on its way through the filters.
 pub(crate) struct Cx {
-    pub(crate) _open: OpenRequest,
+    pub(crate) open: OpenRequest,
     pub(crate) shared: Arc<Shared>,
     /// When its head had been read.
     pub(crate) arrived: Instant,
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -15,6 +15,7 @@
 use crate::{
     body::{Body, Cut, Parts, streamed, whole},
     context::{Cx, Refused},
+    treasury::Held,
 };
 
 /// Longest error answer, in bytes.
@@ -273,7 +274,7 @@
         id = cx.id(),
         outcome,
         events = progress.events,
-        tokens = cx.held.as_ref().map(|held| held.used()),
+        tokens = cx.held.as_ref().map(Held::used),
         first_ms,
         longest_gap_ms = longest_gap.as_millis(),
         ms = cx.arrived.elapsed().as_millis();
--- a/crates/peridotslip-edge/src/front.rs
+++ b/crates/peridotslip-edge/src/front.rs
@@ -21,6 +21,7 @@
     context::{Cx, OpenRequest, Refused, Shared},
     dispatch,
     filters::Chain,
+    head_limit::{InRequest, LimitedHead},
     reason::Reason,
 };
 
@@ -74,7 +75,13 @@
         log::debug!("a caller's connection can't be set up: {err}");
     }
     let limits = shared.index().table().limits;
-    let service = service_fn(move |request| answer(shared.clone(), chain.clone(), request));
+    let in_request = InRequest::default();
+    let head_timeout = Duration::from_millis(limits.header_timeout_ms);
+    let stream = LimitedHead::new(stream, head_timeout, in_request.clone());
+    let service = service_fn(move |request| {
+        let open = OpenRequest::new(&shared, in_request.begin());
+        answer(shared.clone(), chain.clone(), request, open)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
@@ -97,13 +104,14 @@
     shared: Arc<Shared>,
     chain: Arc<Chain>,
     request: Request<Incoming>,
+    open: OpenRequest,
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let caller = shared.platform.dialect.caller_request(&parts.headers);
     let mut cx = Cx {
         index: shared.index(),
-        _open: OpenRequest::new(&shared),
+        open,
         shared: shared.clone(),
         arrived,
         method: parts.method,
@@ -120,7 +128,10 @@
     let version = cx.index.version();
     let passed = match read_body(&mut cx, body).await {
         Ok(()) => chain.apply(&mut cx).await,
-        Err(refused) => Err(refused),
+        Err(refused) => {
+            cx.open.abandon_connection();
+            Err(refused)
+        }
     };
     let route = cx.route.clone();
     let organisation = cx.organisation.clone();
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod feeds;
 mod filters;
 mod front;
+mod head_limit;
 mod logging;
 mod metrics;
 mod once;
