Copy the beginning of a prompt between engines in place of reading it again

An engine can copy what another has read, which is faster (8 us a token against 31) and costs a twelfth. Change: the choice of an engine also names another one that has had more of the prompt's beginning for at least 300 ms and used it in the last 20 s, if 160 tokens or more are gained; the request tells the engine to copy there.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -66,6 +66,14 @@
     pub(super) framed: bool,
 }
 
+/// How a server is to run a request.
+struct How<'a> {
+    /// Where a stream goes on.
+    last_event: Option<u64>,
+    /// The engine from which the beginning of the prompt can be copied.
+    source: Option<&'a str>,
+}
+
 impl Attempt {
     /// Picks a server and sends the request; waits up to `limit` for the
     /// answer's head. `None` if there is no server to try.
@@ -76,16 +84,24 @@
         limit: Duration,
     ) -> Option<Result<Self, (ServerId, Failed)>> {
         let now_ms = cx.shared.clock.now_ms();
-        let server =
-            cx.shared
-                .placement()
-                .choose(&cx.service, &cx.caller.demand, &tries.servers, now_ms)?;
+        let demand = &cx.caller.demand;
+        let choice = cx.shared.placement().choose_with_source(
+            &cx.service,
+            demand,
+            &tries.servers,
+            now_ms,
+        )?;
+        let server = choice.server;
         let mut place = Place {
             shared: cx.shared.clone(),
             server: server.id.clone(),
             ended: false,
         };
-        let sent = Self::exchange(cx, &server, last_event, limit, &mut place).await;
+        let how = How {
+            last_event,
+            source: choice.source.as_deref(),
+        };
+        let sent = Self::exchange(cx, &server, &how, limit, &mut place).await;
         Some(match sent {
             Ok((lease, response, answer, sent)) => {
                 let (parts, body) = response.into_parts();
@@ -111,7 +127,7 @@
     async fn exchange(
         cx: &Cx,
         server: &Server,
-        last_event: Option<u64>,
+        how: &How<'_>,
         limit: Duration,
         place: &mut Place,
     ) -> Result<(Lease, http::Response<Incoming>, ServerAnswer, Instant), Failed> {
@@ -131,7 +147,7 @@
         if left.as_millis() < MIN_USEFUL_MS {
             return Err(Failed::NotRun("no-time-left"));
         }
-        let request = match build(cx, server, last_event, left) {
+        let request = match build(cx, server, how, left) {
             Ok(request) => request,
             Err(err) => {
                 log::error!(id = cx.id(); "a request can't be sent on: {err}");
@@ -199,7 +215,7 @@
 fn build(
     cx: &Cx,
     server: &Server,
-    last_event: Option<u64>,
+    how: &How<'_>,
     left: Duration,
 ) -> Result<Request<Full<bytes::Bytes>>, http::Error> {
     let organisation = cx.organisation.as_ref();
@@ -212,7 +228,8 @@
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         organisation: organisation.map(|organisation| organisation.name.as_str()),
         urgency: urgency.filter(|_| cx.caller.max_output_tokens.is_some()),
-        last_event,
+        last_event: how.last_event,
+        source: how.source,
     };
     let path = cx.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::builder()
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -133,6 +133,9 @@
     pub urgency: Option<u8>,
     /// Where a stream goes on.
     pub last_event: Option<u64>,
+    /// The address of an engine that has read the beginning of the prompt, to
+    /// copy it from.
+    pub source: Option<&'a str>,
 }
 
 /// What a backend server's answer says of itself.
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     index::{Lookup, RoutingIndex},
-    placement::Placement,
+    placement::{Choice, Placement},
     retry_budget::RetryBudget,
     server::{Demand, End, LoadReport, Server, ServerId, ServerState},
     table::{CallerLimits, EngineTraits, Organisation, Repeat, Route, RoutingTable, Service},
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -38,29 +38,63 @@
 const SLOW_FACTOR: f64 = 2.5;
 /// Prompt parts that a router remembers for each engine.
 const MAX_PARTS: usize = 512;
+/// How long an engine takes to read a part at most, in milliseconds; until
+/// then others can't copy it.
+const READ_MS: u64 = 300;
+/// How long a part that nobody uses is thought to stay in an engine's memory,
+/// in milliseconds.
+const KEPT_MS: u64 = 20_000;
+/// Fewest tokens that are worth copying: setting up a copy takes 5 ms.
+const MIN_COPIED_TOKENS: u64 = 160;
+
+/// When a part was first and last sent to an engine, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    first_ms: u64,
+    last_ms: u64,
+}
 
 #[derive(Clone, Debug, Default)]
 struct Parts {
-    last_used: HashMap<u64, u64>,
+    sent: HashMap<u64, Sent>,
 }
 
 impl Parts {
     fn insert(&mut self, id: u64, now_ms: u64) {
-        self.last_used.insert(id, now_ms);
-        if self.last_used.len() > MAX_PARTS {
-            let mut times: Vec<u64> = self.last_used.values().copied().collect();
+        let sent = self.sent.entry(id).or_insert(Sent {
+            first_ms: now_ms,
+            last_ms: now_ms,
+        });
+        sent.last_ms = now_ms;
+        if self.sent.len() > MAX_PARTS {
+            let mut times: Vec<u64> = self.sent.values().map(|sent| sent.last_ms).collect();
             times.sort_unstable();
             let cut = times[times.len() / 4];
-            self.last_used.retain(|_, at| *at > cut);
+            self.sent.retain(|_, sent| sent.last_ms > cut);
         }
     }
 
+    /// Tokens at the beginning of a prompt that can be copied from here.
+    fn readable(&self, demand: &Demand, now_ms: u64) -> u64 {
+        let readable = |id: &u64| {
+            self.sent.get(id).is_some_and(|sent| {
+                now_ms >= sent.first_ms + READ_MS && now_ms < sent.last_ms + KEPT_MS
+            })
+        };
+        demand
+            .parts
+            .iter()
+            .take_while(|(id, _)| readable(id))
+            .map(|(_, tokens)| tokens)
+            .sum()
+    }
+
     /// Tokens at the beginning of a prompt that are thought to be cached.
     fn cached(&self, demand: &Demand) -> u64 {
         demand
             .parts
             .iter()
-            .take_while(|(id, _)| self.last_used.contains_key(id))
+            .take_while(|(id, _)| self.sent.contains_key(id))
             .map(|(_, tokens)| tokens)
             .sum()
     }
@@ -121,6 +155,16 @@
     }
 }
 
+/// A server for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub server: Server,
+    /// The address of an engine from which it can copy what it has not read of
+    /// the prompt's beginning: faster than to read it again.
+    pub source: Option<String>,
+}
+
 /// The servers of all services, and what this router knows of each.
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
@@ -206,6 +250,19 @@
         tried: &[ServerId],
         now_ms: u64,
     ) -> Option<Server> {
+        let choice = self.choose_with_source(service, demand, tried, now_ms);
+        choice.map(|choice| choice.server)
+    }
+
+    /// Like [`choose`](Self::choose), and names an engine from which the chosen
+    /// one can copy the beginning of the prompt.
+    pub fn choose_with_source(
+        &mut self,
+        service: &str,
+        demand: &Demand,
+        tried: &[ServerId],
+        now_ms: u64,
+    ) -> Option<Choice> {
         let id = self
             .best(service, demand, tried, now_ms, Known::available)
             .or_else(|| {
@@ -213,13 +270,38 @@
                     known.takes_work()
                 })
             })?;
+        let source = self.source(&id, demand, now_ms);
         let known = self.servers.get_mut(&id)?;
         known.in_flight += 1;
         known.reading += demand.work(known.parts.cached(demand));
         for (part, _) in &demand.parts {
             known.parts.insert(*part, now_ms);
         }
-        Some(known.server.clone())
+        Some(Choice {
+            server: known.server.clone(),
+            source,
+        })
+    }
+
+    /// An engine that has read more of a prompt's beginning than the engine
+    /// `id`, if copying that is worth while.
+    fn source(&self, id: &str, demand: &Demand, now_ms: u64) -> Option<String> {
+        let chosen = self.servers.get(id)?;
+        let at_hand = chosen.parts.cached(demand);
+        let (gain, source) = self
+            .servers
+            .values()
+            .filter(|known| known.server.id != id && known.server.service == chosen.server.service)
+            .filter(|known| known.takes_work() && now_ms >= known.avoid_until_ms)
+            .map(|known| {
+                let gain = known.parts.readable(demand, now_ms).saturating_sub(at_hand);
+                (gain, known)
+            })
+            .max_by_key(|(gain, known)| {
+                let near = known.server.data_centre == chosen.server.data_centre;
+                (*gain, near)
+            })?;
+        (gain >= MIN_COPIED_TOKENS).then(|| source.server.address.clone())
     }
 
     fn best(
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -1,10 +1,10 @@
 //! Routing, placement and retry budgets under named patterns of load.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use peridotslip::forwarding::{
-    CallerLimits, Demand, End, LoadReport, Lookup, Organisation, Placement, Repeat, RetryBudget,
-    Route, RoutingIndex, RoutingTable, Server, ServerState,
+    CallerLimits, Choice, Demand, End, LoadReport, Lookup, Organisation, Placement, Repeat,
+    RetryBudget, Route, RoutingIndex, RoutingTable, Server, ServerState,
 };
 use proptest::prelude::*;
 
@@ -41,11 +41,15 @@
     }
 }
 
+fn address(id: &str) -> String {
+    format!("{id}.example:80")
+}
+
 fn server(id: &str, data_centre: &str) -> Server {
     Server {
         id: id.to_owned(),
         service: "model".to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: address(id),
         data_centre: data_centre.to_owned(),
         slots: 8,
         state: ServerState::Ready,
@@ -113,7 +117,7 @@
 fn calm_sessions_stay_at_one_engine_on_every_router() {
     let (mut one, mut other) = (engines(12), engines(12));
     for number in 0..20 {
-        let mut seen = std::collections::BTreeSet::new();
+        let mut seen = BTreeSet::new();
         for own in 0..3 {
             let demand = session(number, own);
             for placement in [&mut one, &mut other] {
@@ -140,6 +144,74 @@
     assert!(most <= 20, "an even share is 10: {counts:?}");
 }
 
+/// Runs a request of `session(number, own)` to its end and returns the server
+/// and the engine to copy from.
+fn run(placement: &mut Placement, number: u64, own: u64, now_ms: u64) -> Choice {
+    let demand = session(number, own);
+    let choice = placement
+        .choose_with_source("model", &demand, &[], now_ms)
+        .unwrap();
+    placement.finish(&choice.server.id, End::Answered, now_ms);
+    choice
+}
+
+#[test]
+fn a_beginning_that_many_sessions_share_is_read_once_and_copied() {
+    let mut placement = engines(12);
+    let first = run(&mut placement, 0, 0, 0);
+    assert_eq!(first.source, None);
+
+    let mut read_by = BTreeSet::from([first.server.id.clone()]);
+    for number in 1..40 {
+        let choice = run(&mut placement, number, number, 1_000 + number);
+        if read_by.insert(choice.server.id) {
+            assert_eq!(choice.source, Some(address(&first.server.id)));
+        } else {
+            assert_eq!(choice.source, None, "it has all that others have");
+        }
+    }
+
+    assert_eq!(read_by.len(), 12);
+}
+
+#[test]
+fn a_hot_session_is_copied_to_the_engines_it_spreads_to() {
+    let mut placement = engines(3);
+    let home = run(&mut placement, 1, 0, 0).server.id;
+    let tried = [home.clone()];
+
+    let demand = session(1, 1);
+    let away = placement.choose_with_source("model", &demand, &tried, 1_000);
+
+    assert_eq!(away.unwrap().source, Some(address(&home)));
+}
+
+#[test]
+fn nothing_is_copied_from_an_engine_that_may_not_have_it() {
+    let leaving: fn(&mut Placement, &str) = |placement, id| placement.leaving(id);
+    let failing: fn(&mut Placement, &str) = |placement, id| {
+        for _ in 0..2 {
+            placement.finish(id, End::Failed, 1_000);
+        }
+    };
+    let nothing: fn(&mut Placement, &str) = |_, _| {};
+    for (what, happens, now_ms) in [
+        ("it still reads", nothing, 100),
+        ("nobody used it for long", nothing, 60_000),
+        ("it leaves", leaving, 1_000),
+        ("it fails", failing, 1_000),
+    ] {
+        let mut placement = engines(3);
+        let home = run(&mut placement, 1, 0, 0).server.id;
+        happens(&mut placement, &home);
+
+        let demand = session(1, 1);
+        let away = placement.choose_with_source("model", &demand, &[home], now_ms);
+
+        assert_eq!(away.unwrap().source, None, "{what}");
+    }
+}
+
 #[test]
 fn a_release_wave_moves_work_to_servers_that_stay() {
     let mut placement = engines(4);
