Copy prompts from probable homes as well

Ruled out: telling the routers of each other's sends (messages for what a guess mostly gets right). Change: where this router knows of no engine that has more of a prompt, it names the home of the session, or that of the first part, if the engine chosen lacks it.

--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -301,7 +301,38 @@
                 let near = known.server.data_centre == chosen.server.data_centre;
                 (*gain, near)
             })?;
-        (gain >= MIN_COPIED_TOKENS).then(|| source.server.address.clone())
+        if gain >= MIN_COPIED_TOKENS {
+            return Some(source.server.address.clone());
+        }
+        self.likely_source(chosen, demand, now_ms)
+    }
+
+    /// An engine that has probably read what the chosen one lacks, because of
+    /// other routers' requests: the home of the session, or else the home of
+    /// the prompt's first part.
+    fn likely_source(&self, chosen: &Known, demand: &Demand, now_ms: u64) -> Option<String> {
+        let shared = demand.parts.len().saturating_sub(1);
+        let tokens = |parts: &[(u64, u64)]| parts.iter().map(|(_, tokens)| tokens).sum::<u64>();
+        let at_hand = chosen.parts.cached(demand);
+        let candidates: Vec<&Known> = self
+            .servers
+            .values()
+            .filter(|known| known.server.service == chosen.server.service)
+            .filter(|known| known.takes_work() && now_ms >= known.avoid_until_ms)
+            .collect();
+        [shared, 1].into_iter().find_map(|count| {
+            let beginning = demand
+                .parts
+                .get(..count)
+                .filter(|parts| !parts.is_empty())?;
+            let (part, _) = beginning.last()?;
+            let home = home(&candidates, *part)?;
+            let gains = tokens(beginning) >= at_hand + MIN_COPIED_TOKENS;
+            // What this router has sent there itself has been considered.
+            let guessed = !home.parts.sent.contains_key(part);
+            let other = home.server.id != chosen.server.id;
+            (gains && guessed && other).then(|| home.server.address.clone())
+        })
     }
 
     fn best(
@@ -318,13 +349,10 @@
             .filter(|known| known.server.service == service)
             .filter(|known| !tried.contains(&known.server.id) && usable(known, now_ms))
             .collect();
-        let home = demand.affinity().and_then(|part| {
-            let key = format!("{part:016x}");
-            candidates
-                .iter()
-                .max_by_key(|known| rank(&key, &known.server.id))
-                .map(|known| known.server.id.clone())
-        });
+        let home = demand
+            .affinity()
+            .and_then(|part| home(&candidates, part))
+            .map(|known| known.server.id.clone());
         let median = median_first_byte(&candidates);
         let cost = |known: &Known| {
             let is_home = home.as_ref() == Some(&known.server.id);
@@ -435,6 +463,13 @@
     }
 }
 
+/// The engine that a prompt part prefers, the same for every router.
+fn home<'a>(candidates: &[&'a Known], part: u64) -> Option<&'a Known> {
+    let key = format!("{part:016x}");
+    let by_rank = |known: &&&Known| rank(&key, &known.server.id);
+    candidates.iter().max_by_key(by_rank).copied()
+}
+
 fn slow_penalty(first_byte_ms: f64, median_ms: Option<f64>) -> f64 {
     match median_ms {
         Some(median) if first_byte_ms > median * SLOW_FACTOR => first_byte_ms - median,
