Open budgets once the other routers are listed; keep what is borrowed

With that mended, a test of hand-overs failed, for a fault that the spare accounts had hidden: a router that first hears of a budget in an outage, by tokens handed over to it, closed these at once, because it did not know yet that the store was away (log: 13,652 tokens taken over, spendable 0). Ruled out: a flag for the store's being away (it is wrong at the start, and for the first exchange of each outage). Change: budgets are opened after the first list of routers; borrowed tokens are closed only right after the record has been read.

--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -170,8 +170,12 @@
     }
 }
 
-/// Opens the budgets of the table in force.
+/// Opens the budgets of the table in force, once it is known who else might be
+/// home to them.
 fn open_accounts(shared: &Shared) {
+    if !shared.peers.is_listed() {
+        return;
+    }
     let index = shared.index();
     let organisations = index.table().organisations.iter().flatten();
     let paid: Vec<(OrganisationName, u64)> = organisations
@@ -349,6 +353,7 @@
         for item in items {
             self.change(Change::Put(item));
         }
+        self.0.peers.set_listed();
     }
 
     fn settled(&mut self) {
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -7,7 +7,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -43,6 +46,8 @@
 pub(crate) struct Peers {
     me: Member,
     others: Mutex<BTreeMap<String, Peer>>,
+    /// Whether all entries in the store have been read once.
+    listed: AtomicBool,
     client: Client,
 }
 
@@ -51,6 +56,7 @@
         Arc::new(Self {
             me,
             others: Mutex::default(),
+            listed: AtomicBool::new(false),
             client: Client::default(),
         })
     }
@@ -64,6 +70,16 @@
         &self.me
     }
 
+    /// All entries in the store have been read.
+    pub(crate) fn set_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether all entries in the store have been read once.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// Takes in an entry.
     pub(crate) fn insert(&self, member: Member) {
         if member.vm == self.me.vm {
--- a/crates/peridotslip-edge/src/treasury/exchange.rs
+++ b/crates/peridotslip-edge/src/treasury/exchange.rs
@@ -65,22 +65,22 @@
     /// Tells the record what has changed and takes in its reply. Returns
     /// whether the store was asked at all.
     async fn exchange(&self, account: &Account, known: &mut Known) -> Result<bool, StoreError> {
-        let cut_off = account.cut_off.load(Ordering::Relaxed);
+        let borrowed = account.lock().wallet.has_vouchers();
+        if borrowed {
+            // While the store is away, borrowed tokens are what is spent, so
+            // they are closed only right after it has answered.
+            *known = Some(self.read_record(&account.key).await?);
+        }
         let (report, vouchers) = {
             let mut state = account.lock();
-            // While the store is away, borrowed tokens are what is spent.
-            if !cut_off {
+            if borrowed {
                 state.wallet.close_vouchers();
             }
             let vouchers = state.wallet.voucher_reports();
             (state.wallet.report(self.clock.now_ms()), vouchers)
         };
         if report.is_empty() && vouchers.is_empty() {
-            if cut_off && account.lock().wallet.has_vouchers() {
-                *known = Some(self.read_record(&account.key).await?);
-                return Ok(true);
-            }
-            return Ok(false);
+            return Ok(borrowed);
         }
         for _ in 0..MAX_SWAPS {
             let (revision, record) = match known.take() {
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -205,7 +205,8 @@
         happens(&mut placement, &home);
 
         let demand = session(1, 1);
-        let away = placement.choose_with_source("model", &demand, &[home.clone()], now_ms);
+        let away =
+            placement.choose_with_source("model", &demand, std::slice::from_ref(&home), now_ms);
 
         assert_ne!(away.unwrap().source, Some(address(&home)), "{what}");
     }
