Ask a peer again over a new connection when a kept one breaks

Ruled out: waiting for the next probe (500 ms), more tokens at deputies (small budgets strand). Change: a question that may be repeated goes over a new connection once; a reservation asked for again is made once. Lending is not repeated.

--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -17,7 +17,7 @@
 use peridotslip::{ids::Incarnation, members::rank};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::rpc::{self, Client};
+use crate::rpc::{self, Client, Question};
 
 /// Time between two probes of a router that does not answer, in milliseconds.
 const PROBE_PAUSE_MS: u64 = 500;
@@ -172,7 +172,7 @@
     }
 
     /// Asks a router.
-    pub(crate) async fn ask<Q: Serialize, A: DeserializeOwned>(
+    pub(crate) async fn ask<Q: Question, A: DeserializeOwned>(
         &self,
         member: &Member,
         question: &Q,
@@ -210,7 +210,7 @@
 
     /// Probes the routers that don't answer, with `probe`, until the process
     /// ends.
-    pub(crate) async fn probe_silent<Q: Serialize>(self: Arc<Self>, probe: Q) {
+    pub(crate) async fn probe_silent<Q: Question>(self: Arc<Self>, probe: Q) {
         loop {
             tokio::time::sleep(Duration::from_millis(PROBE_PAUSE_MS)).await;
             for member in self.silent() {
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -47,6 +47,13 @@
 /// The result of asking a peer.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
+/// What peers are asked.
+pub(crate) trait Question: Serialize {
+    /// Whether asking twice does no harm, because the peer knows the question
+    /// again or the answer changes nothing.
+    fn may_repeat(&self) -> bool;
+}
+
 type Connections = HashMap<String, SendRequest<Bytes>>;
 
 fn encode<T: Serialize>(value: &T) -> Option<Bytes> {
@@ -72,14 +79,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Asks the router at `address`, waiting `timeout` in all.
-    pub(crate) async fn ask<Q: Serialize, A: DeserializeOwned>(
+    /// Asks the router at `address`, waiting `timeout` in all. A kept
+    /// connection that turns out to be broken says nothing of the router, so
+    /// a question that may be repeated goes over a new one.
+    pub(crate) async fn ask<Q: Question, A: DeserializeOwned>(
         &self,
         address: &str,
         question: &Q,
         timeout: Duration,
     ) -> Result<A> {
-        let answer = tokio::time::timeout(timeout, self.ask_once(address, question))
+        let asked = async {
+            let kept = self.lock().contains_key(address);
+            let answer = self.ask_once(address, question).await;
+            if kept && matches!(answer, Err(Error::Broken(_))) && question.may_repeat() {
+                self.lock().remove(address);
+                return self.ask_once(address, question).await;
+            }
+            answer
+        };
+        let answer = tokio::time::timeout(timeout, asked)
             .await
             .unwrap_or_else(|_| Err(Error::Timeout(address.to_owned())));
         if answer.is_err() {
--- a/crates/peridotslip-edge/src/treasury.rs
+++ b/crates/peridotslip-edge/src/treasury.rs
@@ -235,7 +235,8 @@
         }
     }
 
-    /// Answers another router's reservation.
+    /// Answers another router's reservation. One that is asked for again is
+    /// made once.
     pub(crate) async fn reserve_for(
         self: &Arc<Self>,
         organisation: OrganisationName,
@@ -243,12 +244,19 @@
         tokens: u64,
         ticket: Ticket,
     ) -> Verdict {
+        if lock(&self.tickets).contains_key(&ticket) {
+            return Verdict::Held;
+        }
         if self.is_leaving() {
             return Verdict::Elsewhere;
         }
         match self.reserve_here(&organisation, paid, tokens).await {
             Ok(reservation) => {
-                lock(&self.tickets).insert(ticket, (organisation, reservation, Instant::now()));
+                let made = (organisation, reservation, Instant::now());
+                let earlier = lock(&self.tickets).insert(ticket, made);
+                if let Some((organisation, reservation, _)) = earlier {
+                    self.settle_here(&organisation, reservation, 0);
+                }
                 Verdict::Held
             }
             Err(denied) => denied.into(),
--- a/crates/peridotslip-edge/src/treasury/messages.rs
+++ b/crates/peridotslip-edge/src/treasury/messages.rs
@@ -6,6 +6,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::rpc::Question;
+
 /// Names a reservation of one router at another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Ticket {
@@ -55,6 +57,23 @@
     Probe,
 }
 
+impl Question for Ask {
+    fn may_repeat(&self) -> bool {
+        match self {
+            // Tickets, vouchers and runs have names; a ceiling never falls.
+            Self::Reserve { .. }
+            | Self::Settle(_)
+            | Self::Take { .. }
+            | Self::Witness { .. }
+            | Self::Ceiling { .. }
+            | Self::Leaving { .. }
+            | Self::Probe => true,
+            // Each answer hands out tokens of its own.
+            Self::Lend { .. } => false,
+        }
+    }
+}
+
 /// Answers to [`Ask::Reserve`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Verdict {
