Let servers without an entry expire at a time that the selection checks

The end of the time for registering again was checked only when a watch ended, up to 1.9 s late; and it began with this watch's own listing, up to 0.8 s after the store's return, because each watch waits for its own backoff, and lasted 2.5 s. Ruled out: an old entry that came back (no such line in the logs); requests that waited after the choice (6 ms in the router).

Change: Placement holds the time from which on a server counts as gone, and selection compares it with the clock. The time is counted from the last call that an outage made fail, which precedes the store's return. The watches share what they observe: one that regains the store wakes the others. A server that left while a connection to it was being opened gets no request. The set of missing servers is gone, and with it a second fault: a listing without missing servers left an earlier set in force, so that servers that were back were removed (an_entry_that_returns_cancels_the_removal).

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use peridotslip::forwarding::{Organisation, Placement, RetryBudget, RoutingIndex, RoutingRule};
-use tokio::sync::watch;
 
 use crate::{
     budgets::{BudgetManager, ReservationGuard},
@@ -23,6 +22,7 @@
     ports::{Platform, RequestMetadata},
     reason::RejectionReason,
     settings::Settings,
+    store_availability::StoreAvailability,
     upstream::ConnectionPools,
 };
 
@@ -46,9 +46,7 @@
     pub(crate) placement: Mutex<Placement>,
     index: Mutex<Arc<RoutingIndex>>,
     retry_budgets: Mutex<HashMap<String, RetryBudget>>,
-    /// Number of times that a store watch has lost the store. A change makes
-    /// the other watches probe the store.
-    pub(crate) store_outages: watch::Sender<u64>,
+    pub(crate) store_availability: StoreAvailability,
     pub(crate) stopping: AtomicBool,
     pub(crate) open_requests: AtomicUsize,
 }
@@ -74,7 +72,7 @@
             placement,
             index: Mutex::default(),
             retry_budgets: Mutex::default(),
-            store_outages: watch::Sender::new(0),
+            store_availability: StoreAvailability::new(),
             stopping: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         }
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -166,6 +166,12 @@
                 return Err(AttemptError::NotRun("unreachable"));
             }
         };
+        // Opening a connection takes time, in which the server may have left.
+        let now_ms = cx.shared.clock.now_ms();
+        if !cx.shared.placement().accepts_requests(&server.id, now_ms) {
+            in_flight.end(AttemptOutcome::Neutral);
+            return Err(AttemptError::NotRun("server-left"));
+        }
         let remaining = cx.time_remaining();
         if remaining.as_millis() < MIN_USEFUL_MS {
             return Err(AttemptError::NotRun("no-time-left"));
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod rpc;
 mod run;
 pub mod settings;
+mod store_availability;
 mod store_watch;
 mod upstream;
 
--- /dev/null
+++ b/crates/peridotslip-edge/src/store_availability.rs
@@ -0,0 +1,99 @@
+//! Whether the metadata store is available, as all store watches observe it
+//! together.
+
+use std::time::Instant;
+
+use tokio::sync::watch;
+
+/// What the watches have observed.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    /// Whether the last call that ended got a reply.
+    available: bool,
+    /// When the last call that failed was sent.
+    last_failure: Option<Instant>,
+}
+
+/// An outage that one watch has noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Outage {
+    /// When the watch noticed the outage.
+    pub(crate) began: Instant,
+    /// When the last call of any watch that failed was sent. The store returned
+    /// after that.
+    pub(crate) last_failure: Instant,
+}
+
+/// The availability of the store.
+#[derive(Debug)]
+pub(crate) struct StoreAvailability {
+    observed: watch::Sender<Observed>,
+}
+
+impl StoreAvailability {
+    pub(crate) fn new() -> Self {
+        Self {
+            observed: watch::Sender::new(Observed {
+                available: true,
+                last_failure: None,
+            }),
+        }
+    }
+
+    /// Records that the store has replied to a call.
+    pub(crate) fn record_success(&self) {
+        self.observed.send_if_modified(|observed| {
+            let regained = !observed.available;
+            observed.available = true;
+            regained
+        });
+    }
+
+    /// Records that a call that was sent at `sent_at` has failed.
+    pub(crate) fn record_failure(&self, sent_at: Instant) {
+        self.observed.send_if_modified(|observed| {
+            let lost = observed.available;
+            observed.available = false;
+            observed.last_failure = observed.last_failure.max(Some(sent_at));
+            lost
+        });
+    }
+
+    /// Returns the outage that a watch noticed at `began`.
+    pub(crate) fn outage_since(&self, began: Instant) -> Outage {
+        Outage {
+            began,
+            last_failure: self.observed.borrow().last_failure.unwrap_or(began),
+        }
+    }
+
+    pub(crate) fn subscribe(&self) -> AvailabilityReceiver {
+        AvailabilityReceiver {
+            observed: self.observed.subscribe(),
+        }
+    }
+}
+
+/// Receives the changes of the store's availability.
+pub(crate) struct AvailabilityReceiver {
+    observed: watch::Receiver<Observed>,
+}
+
+impl AvailabilityReceiver {
+    /// Returns whether the store is available. Later calls of
+    /// [`changed_to`](Self::changed_to) wait for changes after this one.
+    pub(crate) fn is_available(&mut self) -> bool {
+        self.observed.borrow_and_update().available
+    }
+
+    /// Waits until the store has become available, or unavailable.
+    pub(crate) async fn changed_to(&mut self, available: bool) {
+        while self.observed.changed().await.is_ok() {
+            if self.is_available() == available {
+                return;
+            }
+        }
+        // The sender lives as long as the process.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -6,12 +6,16 @@
     time::{Duration, Instant},
 };
 
-use peridotslip::{forwarding::RoutingIndex, ids::OrganisationName};
+use peridotslip::{
+    forwarding::{RoutingIndex, ServerId},
+    ids::OrganisationName,
+};
 
 use crate::{
     context::SharedState,
-    ports::{Item, StoreError, WatchEvent},
+    ports::{Item, Listing, StoreError, StoreResult, WatchEvent, WatchResponse},
     registry,
+    store_availability::Outage,
 };
 
 /// How long a watch of rarely changing keys waits for a change, in
@@ -37,9 +41,11 @@
 const FIRST_BACKOFF_MS: u64 = 100;
 /// Longest pause after a failed call, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 800;
-/// How long servers whose entries the store lost in an outage may take to
-/// register again, in milliseconds.
-const REREGISTER_GRACE_MS: u64 = 2_500;
+/// How long after the last call that an outage made fail a server may be without
+/// an entry before it counts as gone, in milliseconds. A live server registers
+/// again within 2 s of the store's return, which follows that call; 3 s after the
+/// return, no request may reach a server that left during the outage.
+const REREGISTER_GRACE_MS: u64 = 2_800;
 /// Outages longer than this may make the store lose servers' entries, in
 /// milliseconds.
 const LONG_OUTAGE_MS: u64 = 1_500;
@@ -56,86 +62,102 @@
     fn pause(&self) -> Duration;
     /// Applies one change.
     fn on_event(&mut self, event: WatchEvent);
-    /// Applies all items under the prefix. `outage` is the time since the store
-    /// became unavailable, zero without an outage.
-    fn on_list(&mut self, items: Vec<Item>, outage: Duration);
+    /// Applies all items under the prefix. `outage` is the outage that this
+    /// listing ends, if any.
+    fn on_list(&mut self, items: Vec<Item>, outage: Option<Outage>);
     /// Called after all changes of a watch or listing have been applied.
     fn on_batch_end(&mut self);
 }
 
+/// A reply of the store to a watcher's call.
+enum StoreReply {
+    Listing(Listing),
+    Changes(WatchResponse),
+}
+
+/// Lists a prefix, or watches it for changes after `revision`. Waits only
+/// briefly for changes if `probing`, to find out whether the store is available.
+async fn read_store(
+    shared: &SharedState,
+    watcher: &impl PrefixWatcher,
+    revision: Option<u64>,
+    probing: bool,
+) -> StoreResult<StoreReply> {
+    let store = &shared.platform.store;
+    let Some(revision) = revision else {
+        shared.metrics.store_call("list");
+        return store.list(watcher.prefix()).await.map(StoreReply::Listing);
+    };
+    shared.metrics.store_call("watch");
+    let wait = if probing {
+        Duration::from_millis(PROBE_WATCH_MS)
+    } else {
+        watcher.watch_timeout()
+    };
+    let response = store.watch(watcher.prefix(), revision, wait).await;
+    response.map(StoreReply::Changes)
+}
+
 /// Lists and watches a prefix until the process ends.
 async fn list_and_watch(shared: Arc<SharedState>, mut watcher: impl PrefixWatcher) {
-    let store = shared.platform.store.clone();
     let mut revision = None;
     let mut backoff_ms = FIRST_BACKOFF_MS;
-    // When the store became unavailable; `None` while it is available.
+    // When this watch lost the store; `None` while it has the store.
     let mut lost_at: Option<Instant> = None;
-    let mut outages = shared.store_outages.subscribe();
-    // Whether watches wait only briefly, to find out whether the store is
-    // available.
-    let mut probing = false;
+    let mut availability = shared.store_availability.subscribe();
     loop {
-        let outcome = match revision {
-            None => {
-                shared.metrics.store_call("list");
-                store.list(watcher.prefix()).await.map(|listing| {
-                    let outage = lost_at.map_or(Duration::ZERO, |at| at.elapsed());
-                    watcher.on_list(listing.items, outage);
-                    listing.revision
-                })
-            }
-            Some(revision) => {
-                shared.metrics.store_call("watch");
-                let wait = if probing {
-                    Duration::from_millis(PROBE_WATCH_MS)
-                } else {
-                    watcher.watch_timeout()
-                };
-                let result = tokio::select! {
-                    result = store.watch(watcher.prefix(), revision, wait) => result,
-                    // Another watcher has lost the store: this watch may never
-                    // get a response, so a short one replaces it.
-                    _ = outages.changed(), if !probing => {
-                        probing = true;
-                        continue;
-                    }
-                };
-                result.map(|response| {
-                    response
-                        .events
-                        .into_iter()
-                        .for_each(|event| watcher.on_event(event));
-                    response.revision
-                })
-            }
+        let probing = lost_at.is_some() || !availability.is_available();
+        let started = Instant::now();
+        let outcome = tokio::select! {
+            outcome = read_store(&shared, &watcher, revision, probing) => outcome,
+            // Another watch has lost the store, or has regained it while this
+            // one has not: this call may never get a response, so a new one
+            // replaces it.
+            () = availability.changed_to(probing) => continue,
         };
         match outcome {
-            Ok(next) => {
-                if let Some(at) = lost_at.take() {
-                    let after_ms = as_ms(at.elapsed());
-                    log::info!(feed = watcher.name(), after_ms, revision = next; "store is available again");
+            Ok(reply) => {
+                shared.store_availability.record_success();
+                let outage = lost_at
+                    .take()
+                    .map(|began| shared.store_availability.outage_since(began));
+                revision = Some(match reply {
+                    StoreReply::Listing(listing) => {
+                        watcher.on_list(listing.items, outage);
+                        listing.revision
+                    }
+                    StoreReply::Changes(response) => {
+                        for event in response.events {
+                            watcher.on_event(event);
+                        }
+                        response.revision
+                    }
+                });
+                if let Some(outage) = outage {
+                    let after_ms = as_ms(outage.began.elapsed());
+                    log::info!(feed = watcher.name(), after_ms, revision; "store is available again");
                 }
-                revision = Some(next);
-                probing = false;
-                outages.mark_unchanged();
                 backoff_ms = FIRST_BACKOFF_MS;
                 watcher.on_batch_end();
                 tokio::time::sleep(watcher.pause()).await;
             }
+            Err(StoreError::Compacted) => {
+                shared.metrics.store_failed();
+                shared.store_availability.record_success();
+                log::warn!(feed = watcher.name(); "store has compacted its history; listing all keys");
+                revision = None;
+            }
             Err(err) => {
                 shared.metrics.store_failed();
-                if err == StoreError::Compacted {
-                    log::warn!(feed = watcher.name(); "store has compacted its history; listing all keys");
-                    revision = None;
-                    continue;
-                }
-                probing = true;
+                shared.store_availability.record_failure(started);
                 if lost_at.is_none() {
                     lost_at = Some(Instant::now());
-                    shared.store_outages.send_modify(|outages| *outages += 1);
                     log::warn!(feed = watcher.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
                 }
-                tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_millis(backoff_ms)) => {}
+                    () = availability.changed_to(true) => {}
+                }
                 backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
             }
         }
@@ -151,10 +173,7 @@
     tokio::spawn(list_and_watch(shared.clone(), TableWatcher(shared.clone())));
     tokio::spawn(list_and_watch(
         shared.clone(),
-        ServersWatcher {
-            shared: shared.clone(),
-            missing: None,
-        },
+        ServersWatcher(shared.clone()),
     ));
     tokio::spawn(list_and_watch(
         shared.clone(),
@@ -226,7 +245,7 @@
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, _outage: Duration) {
+    fn on_list(&mut self, items: Vec<Item>, _outage: Option<Outage>) {
         for item in &items {
             self.apply(item);
         }
@@ -236,30 +255,26 @@
 }
 
 /// Applies changes of the backend servers' entries.
-struct ServersWatcher {
-    shared: Arc<SharedState>,
-    /// Servers without an entry in the last listing, and the time after which
-    /// the router removes those that have not registered again.
-    missing: Option<(HashSet<String>, Instant)>,
-}
+struct ServersWatcher(Arc<SharedState>);
 
 impl ServersWatcher {
     /// Applies a server's entry and returns the server's ID.
-    fn apply(&self, item: &Item) -> Option<String> {
-        let dialect = &self.shared.platform.dialect;
+    fn apply(&self, item: &Item) -> Option<ServerId> {
+        let dialect = &self.0.platform.dialect;
         let server = dialect.decode_server(&item.key, &item.value)?;
         let id = server.id.clone();
         let (address, state) = (server.address.clone(), server.state);
-        if self.shared.placement().upsert(server) {
+        if self.0.placement().upsert(server) {
             log::info!(server = id.as_str(), address = address.as_str(), state:? = state, revision = item.revision; "server entry changed");
         }
         Some(id)
     }
 
-    /// Removes a server from the placement. `reason` is for the log.
-    fn remove(&self, id: &str, reason: &str) {
-        if self.shared.placement().remove(id) {
-            log::info!(server = id, reason; "server removed");
+    /// Removes the servers that have been without an entry for too long.
+    fn remove_gone(&self) {
+        let gone = self.0.placement().remove_gone(self.0.clock.now_ms());
+        for id in gone {
+            log::info!(server = id.as_str(), reason = "entry missing"; "server removed");
         }
     }
 }
@@ -270,7 +285,7 @@
     }
 
     fn prefix(&self) -> &str {
-        self.shared.platform.dialect.servers_prefix()
+        self.0.platform.dialect.servers_prefix()
     }
 
     fn watch_timeout(&self) -> Duration {
@@ -284,53 +299,42 @@
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => {
-                let id = self.apply(&item);
-                if let (Some(id), Some((missing, _))) = (id, &mut self.missing) {
-                    missing.remove(&id);
-                }
+                self.apply(&item);
             }
             WatchEvent::Removed(key) => {
-                if let Some(id) = key.strip_prefix(self.shared.platform.dialect.servers_prefix()) {
-                    self.remove(id, "entry removed");
+                if let Some(id) = key.strip_prefix(self.prefix())
+                    && self.0.placement().remove(id)
+                {
+                    log::info!(server = id, reason = "entry removed"; "server removed");
                 }
             }
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, outage: Duration) {
-        let listed: HashSet<String> = items.iter().filter_map(|item| self.apply(item)).collect();
-        let placement = self.shared.placement();
-        let missing: HashSet<String> = placement
-            .ids()
-            .filter(|id| !listed.contains(*id))
-            .map(ToOwned::to_owned)
-            .collect();
-        drop(placement);
-        if missing.is_empty() {
-            return;
-        }
-        let grace = if outage > Duration::from_millis(LONG_OUTAGE_MS) {
-            Duration::from_millis(REREGISTER_GRACE_MS)
-        } else {
-            Duration::ZERO
+    fn on_list(&mut self, items: Vec<Item>, outage: Option<Outage>) {
+        self.remove_gone();
+        let listed: HashSet<ServerId> = items.iter().filter_map(|item| self.apply(item)).collect();
+        let grace = match outage {
+            Some(outage) if outage.began.elapsed() > Duration::from_millis(LONG_OUTAGE_MS) => {
+                let grace = Duration::from_millis(REREGISTER_GRACE_MS);
+                grace.saturating_sub(outage.last_failure.elapsed())
+            }
+            _ => Duration::ZERO,
         };
-        self.missing = Some((missing, Instant::now() + grace));
+        let grace_ms = as_ms(grace);
+        let gone_at_ms = self.0.clock.now_ms() + grace_ms;
+        let missing = self.0.placement().expire_unlisted(&listed, gone_at_ms);
+        if missing > 0 {
+            log::info!(missing, grace_ms; "servers without an entry; removed unless they register again");
+        }
     }
 
     fn on_batch_end(&mut self) {
-        if self
-            .missing
-            .as_ref()
-            .is_some_and(|(_, remove_at)| Instant::now() >= *remove_at)
-        {
-            for id in self.missing.take().into_iter().flat_map(|(ids, _)| ids) {
-                self.remove(&id, "entry missing");
-            }
-        }
-        let placement = self.shared.placement();
-        let known: HashSet<String> = placement.ids().map(ToOwned::to_owned).collect();
+        self.remove_gone();
+        let placement = self.0.placement();
+        let known: HashSet<ServerId> = placement.ids().map(ToOwned::to_owned).collect();
         drop(placement);
-        self.shared.upstream.evict_idle(|id| known.contains(id));
+        self.0.upstream.evict_idle(|id| known.contains(id));
     }
 }
 
@@ -370,7 +374,7 @@
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, _outage: Duration) {
+    fn on_list(&mut self, items: Vec<Item>, _outage: Option<Outage>) {
         for item in items {
             self.on_event(WatchEvent::Put(item));
         }
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -7,7 +7,7 @@
 //! requests of other routers, so a router corrects a report by the requests
 //! that it has sent or seen finished since.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::{AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState};
 use crate::members::rendezvous_weight;
@@ -135,6 +135,9 @@
     avoid_until_ms: u64,
     /// Whether the server has reported with a response that it is draining.
     draining: bool,
+    /// From when on a server without an entry counts as gone, in milliseconds;
+    /// `None` while the server has an entry.
+    gone_at_ms: Option<u64>,
     /// Smoothed time to first byte, in milliseconds.
     first_byte_ms: Option<f64>,
 }
@@ -152,19 +155,25 @@
             ejections: 0,
             avoid_until_ms: 0,
             draining: false,
+            gone_at_ms: None,
             first_byte_ms: None,
         }
     }
 
-    fn accepts_requests(&self) -> bool {
-        self.server.state == ServerState::Ready && !self.draining
+    fn accepts_requests(&self, now_ms: u64) -> bool {
+        self.server.state == ServerState::Ready && !self.draining && !self.is_gone(now_ms)
+    }
+
+    fn is_gone(&self, now_ms: u64) -> bool {
+        self.gone_at_ms
+            .is_some_and(|gone_at_ms| now_ms >= gone_at_ms)
     }
 
     /// Returns whether the server can be selected. After an ejection the
     /// server has at most one request in flight until a request succeeds.
     fn is_available(&self, now_ms: u64) -> bool {
         let trial_in_flight = self.ejections > 0 && self.in_flight > 0;
-        self.accepts_requests() && now_ms >= self.avoid_until_ms && !trial_in_flight
+        self.accepts_requests(now_ms) && now_ms >= self.avoid_until_ms && !trial_in_flight
     }
 
     /// Returns the estimated number of requests at the server.
@@ -226,6 +235,7 @@
             {
                 let changed = tracked.server != server;
                 tracked.server = server;
+                tracked.gone_at_ms = None;
                 changed
             }
             _ => {
@@ -241,6 +251,32 @@
         self.servers.remove(id).is_some()
     }
 
+    /// Sets the time from which on the servers that are not in `listed` count
+    /// as gone. An entry that returns cancels it.
+    ///
+    /// The time takes effect in the selection itself, so that no later event is
+    /// needed to enforce it. Returns the number of these servers.
+    pub fn expire_unlisted(&mut self, listed: &HashSet<ServerId>, gone_at_ms: u64) -> usize {
+        let unlisted = self.servers.values_mut();
+        let unlisted = unlisted.filter(|tracked| !listed.contains(&tracked.server.id));
+        unlisted
+            .map(|tracked| tracked.gone_at_ms = Some(gone_at_ms))
+            .count()
+    }
+
+    /// Removes the servers that count as gone and returns their IDs.
+    pub fn remove_gone(&mut self, now_ms: u64) -> Vec<ServerId> {
+        let gone = self.servers.values();
+        let gone: Vec<ServerId> = gone
+            .filter(|tracked| tracked.is_gone(now_ms))
+            .map(|tracked| tracked.server.id.clone())
+            .collect();
+        for id in &gone {
+            self.servers.remove(id);
+        }
+        gone
+    }
+
     /// Returns the IDs of all servers.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
         self.servers.keys().map(String::as_str)
@@ -254,10 +290,10 @@
 
     /// Returns whether a server is known and accepts new requests.
     #[must_use]
-    pub fn accepts_requests(&self, id: &str) -> bool {
+    pub fn accepts_requests(&self, id: &str, now_ms: u64) -> bool {
         self.servers
             .get(id)
-            .is_some_and(TrackedServer::accepts_requests)
+            .is_some_and(|tracked| tracked.accepts_requests(now_ms))
     }
 
     /// Returns the number of servers.
@@ -305,9 +341,13 @@
                 TrackedServer::is_available,
             )
             .or_else(|| {
-                self.lowest_cost_server(service, prompt, attempted, now_ms, |tracked, _| {
-                    tracked.accepts_requests()
-                })
+                self.lowest_cost_server(
+                    service,
+                    prompt,
+                    attempted,
+                    now_ms,
+                    TrackedServer::accepts_requests,
+                )
             })?;
         let kv_source = self.kv_source(&id, prompt, now_ms);
         let tracked = self.servers.get_mut(&id)?;
@@ -335,7 +375,7 @@
             .filter(|tracked| {
                 tracked.server.id != id && tracked.server.service == chosen.server.service
             })
-            .filter(|tracked| tracked.accepts_requests() && now_ms >= tracked.avoid_until_ms)
+            .filter(|tracked| tracked.accepts_requests(now_ms) && now_ms >= tracked.avoid_until_ms)
             .map(|tracked| {
                 let gain = tracked
                     .segments
@@ -371,7 +411,7 @@
             .servers
             .values()
             .filter(|tracked| tracked.server.service == chosen.server.service)
-            .filter(|tracked| tracked.accepts_requests() && now_ms >= tracked.avoid_until_ms)
+            .filter(|tracked| tracked.accepts_requests(now_ms) && now_ms >= tracked.avoid_until_ms)
             .collect();
         [shared, 1].into_iter().find_map(|count| {
             let prefix = prompt
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -1,6 +1,6 @@
 //! Routing, placement and retry budgets.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use peridotslip::forwarding::{
     AttemptOutcome, CallerLimits, Idempotency, LoadReport, Organisation, Placement, PromptProfile,
@@ -344,13 +344,46 @@
 fn a_restart_resets_the_state_of_a_server() {
     let mut placement = engines(1);
     placement.mark_draining("e0");
-    assert!(!placement.accepts_requests("e0"));
+    assert!(!placement.accepts_requests("e0", 0));
     let mut restarted = server("e0", "north");
     restarted.started_ms = 2;
 
     assert!(placement.upsert(restarted));
 
-    assert!(placement.accepts_requests("e0"));
+    assert!(placement.accepts_requests("e0", 0));
+}
+
+/// Guards against DRAIN: the end of a grace took effect only at a later event.
+#[test]
+fn a_server_without_an_entry_counts_as_gone_at_its_time() {
+    let mut placement = engines(2);
+    let listed = HashSet::from(["e1".to_owned()]);
+
+    let missing = placement.expire_unlisted(&listed, 2_000);
+
+    assert_eq!(missing, 1);
+    assert!(placement.accepts_requests("e0", 1_999));
+    assert!(!placement.accepts_requests("e0", 2_000));
+    for request in 0..20 {
+        let prompt = session_prompt(request, request);
+        let chosen = placement.choose("model", &prompt, &[], 2_000).unwrap();
+        assert_eq!(chosen.id, "e1");
+    }
+    assert_eq!(placement.remove_gone(1_999), Vec::<String>::new());
+    assert_eq!(placement.remove_gone(2_000), ["e0"]);
+}
+
+/// A second listing that contains a server again once left the server marked for
+/// removal.
+#[test]
+fn an_entry_that_returns_cancels_the_removal() {
+    let mut placement = engines(2);
+    placement.expire_unlisted(&HashSet::from(["e1".to_owned()]), 2_000);
+
+    placement.upsert(server("e0", "north"));
+
+    assert_eq!(placement.remove_gone(5_000), Vec::<String>::new());
+    assert!(placement.accepts_requests("e0", 5_000));
 }
 
 proptest! {
