Bound the time between two probes of the servers' watch

Cause: the time from which a server without an entry counts as gone begins with the last call that failed. With pauses of up to 800 ms after calls that take 800 ms to fail, that call could have been sent 1.6 s before the store's return, and 2.8 s after it a live server has not yet had its two seconds. Ruled out: load (the phases of the watches decide).

Change: in an outage, the servers' watch calls again no later than 800 ms after its last call; the other watches, which it wakes, every 3.2 s (1.6 s before).

--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -39,13 +39,19 @@
 /// Pause after the first failed call, in milliseconds; doubled after each
 /// further one.
 const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest pause after a failed call, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 800;
+/// Longest time from one call of the servers' watch to the next in an outage, in
+/// milliseconds. Bounds how precisely the store's return is known, and thereby
+/// the time for which a server may be without an entry. Not less than a probe
+/// without a response takes.
+const SERVERS_PROBE_INTERVAL_MS: u64 = 800;
+/// Longest time from one call of another watch to the next in an outage, in
+/// milliseconds. The servers' watch wakes the others when the store is back.
+const PROBE_INTERVAL_MS: u64 = 3_200;
 /// How long after the last call that an outage made fail a server may be without
 /// an entry before it counts as gone, in milliseconds. A live server registers
 /// again within 2 s of the store's return, which follows that call; 3 s after the
 /// return, no request may reach a server that left during the outage.
-const REREGISTER_GRACE_MS: u64 = 2_800;
+const REREGISTER_GRACE_MS: u64 = 2_850;
 /// Outages longer than this may make the store lose servers' entries, in
 /// milliseconds.
 const LONG_OUTAGE_MS: u64 = 1_500;
@@ -60,6 +66,10 @@
     fn watch_timeout(&self) -> Duration;
     /// Returns the pause between two watches.
     fn pause(&self) -> Duration;
+    /// Returns the longest time from one call to the next in an outage.
+    fn probe_interval(&self) -> Duration {
+        Duration::from_millis(PROBE_INTERVAL_MS)
+    }
     /// Applies one change.
     fn on_event(&mut self, event: WatchEvent);
     /// Applies all items under the prefix. `outage` is the outage that this
@@ -154,11 +164,13 @@
                     lost_at = Some(Instant::now());
                     log::warn!(feed = watcher.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
                 }
+                let interval_rest = watcher.probe_interval().saturating_sub(started.elapsed());
+                let pause = Duration::from_millis(backoff_ms).min(interval_rest);
                 tokio::select! {
-                    () = tokio::time::sleep(Duration::from_millis(backoff_ms)) => {}
+                    () = tokio::time::sleep(pause) => {}
                     () = availability.changed_to(true) => {}
                 }
-                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+                backoff_ms = backoff_ms.saturating_mul(2);
             }
         }
     }
@@ -296,6 +308,10 @@
         Duration::from_millis(SERVERS_PAUSE_MS)
     }
 
+    fn probe_interval(&self) -> Duration {
+        Duration::from_millis(SERVERS_PROBE_INTERVAL_MS)
+    }
+
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => {
