Resume streams only at the software version that began them

Change: the store holds the versions of each service in the order in which they were added; a router uses a version for resumable streams only after it has read it there. While it knows one version it records nothing: what no router has recorded began at the first version. Once it knows more, it records each stream at a majority of three witnesses before the caller gets the first event. A router that is asked to go on with a stream it does not know needs one witness that has the record, or a majority that surely never had it, or the store's word that there has been one version only; else it answers 503 at once, which is true: nothing has run. The decisions are in forwarding/origin.rs, without I/O.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -1,6 +1,7 @@
-//! The requests about budgets between routers, and their replies.
+//! The requests between routers, and the replies about budgets.
 
 use peridotslip::{
+    forwarding::StreamOrigin,
     ids::{BudgetName, Incarnation, OrganisationName},
     ledger::GrantTransfer,
 };
@@ -62,6 +63,14 @@
         request: ReservationRequest,
         reservation_id: ReservationId,
     },
+    /// Records where a stream began, for `keep_ms` milliseconds.
+    RecordOrigin {
+        id: String,
+        origin: StreamOrigin,
+        keep_ms: u64,
+    },
+    /// Looks up where a stream of one of `services` began.
+    FindOrigin { id: String, services: Vec<String> },
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -90,6 +99,8 @@
             | Self::RaiseCeiling { .. }
             | Self::SealCeiling { .. }
             | Self::Leaving { .. }
+            | Self::RecordOrigin { .. }
+            | Self::FindOrigin { .. }
             | Self::Probe => true,
             // Each reply issues a transfer of its own.
             Self::RequestTransfer { .. } => false,
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -23,6 +23,7 @@
     reason::RejectionReason,
     settings::Settings,
     store_availability::StoreAvailability,
+    stream_origins::OriginDirectory,
     upstream::ConnectionPools,
 };
 
@@ -44,6 +45,7 @@
     pub(crate) budgets: Arc<BudgetManager>,
     pub(crate) upstream: ConnectionPools,
     pub(crate) placement: Mutex<Placement>,
+    pub(crate) origins: OriginDirectory,
     index: Mutex<Arc<RoutingIndex>>,
     retry_budgets: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) store_availability: StoreAvailability,
@@ -70,6 +72,7 @@
             peers,
             budgets,
             placement,
+            origins: OriginDirectory::new(clock),
             index: Mutex::default(),
             retry_budgets: Mutex::default(),
             store_availability: StoreAvailability::new(),
--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -5,7 +5,7 @@
 mod whole;
 
 use http::{HeaderMap, Response, header};
-use peridotslip::forwarding::{RetryBudget, ServerId};
+use peridotslip::forwarding::{RetryBudget, ServerId, ServerVersion};
 
 use self::attempt::ServerResponse;
 use crate::{
@@ -45,6 +45,10 @@
 struct RetryState {
     /// Servers to which attempts were made.
     tried: Vec<ServerId>,
+    /// The software versions that may serve the request; `None` if any may.
+    versions: Option<Vec<ServerVersion>>,
+    /// Whether the request goes on with a stream of a version.
+    resumes: bool,
     /// Number of attempts in which the server may have run the request.
     possible_executions: u32,
     /// Whether the first send has been counted in the retry budget.
@@ -103,6 +107,9 @@
         let late = cx.time_remaining().is_zero();
         match (self.possible_executions, late) {
             (0, true) => Rejection::after(RejectionReason::NotStarted, after_ms),
+            (0, false) if self.tried.is_empty() && self.resumes => {
+                Rejection::new(RejectionReason::VersionGone)
+            }
             (0, false) if self.tried.is_empty() => {
                 Rejection::after(RejectionReason::NoServer, after_ms)
             }
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
-use peridotslip::forwarding::{AttemptOutcome, ServerEntry, ServerId};
+use peridotslip::forwarding::{AttemptOutcome, Selection, ServerEntry, ServerId, ServerVersion};
 
 use super::{AttemptError, RetryState};
 use crate::{
@@ -69,6 +69,8 @@
     /// Whether the server closes the connection after the response.
     closing: bool,
     pub(super) server: ServerId,
+    /// The version of the server's software.
+    pub(super) version: ServerVersion,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
@@ -97,12 +99,16 @@
     ) -> Option<Result<Self, (ServerId, AttemptError)>> {
         let now_ms = cx.shared.clock.now_ms();
         let prompt = &cx.metadata.prompt;
-        let selected = cx.shared.placement().choose_with_kv_source(
-            &cx.service,
+        let selection = Selection {
+            service: &cx.service,
             prompt,
-            &retry.tried,
-            now_ms,
-        )?;
+            attempted: &retry.tried,
+            versions: retry.versions.as_deref(),
+        };
+        let selected = cx
+            .shared
+            .placement()
+            .choose_with_kv_source(&selection, now_ms)?;
         let server = selected.server;
         let mut in_flight = InFlightGuard {
             shared: cx.shared.clone(),
@@ -127,6 +133,7 @@
                     keep_alive_s: metadata.keep_alive_s,
                     closing: metadata.closing,
                     server: server.id,
+                    version: server.version,
                     status: parts.status,
                     headers: parts.headers,
                     body,
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -16,6 +16,8 @@
     body::{Body, BodyError, BodySender, channel, full},
     budgets::ReservationGuard,
     context::{Rejection, RequestContext},
+    reason::RejectionReason,
+    stream_origins,
 };
 
 /// Longest body of an error response, in bytes.
@@ -95,6 +97,10 @@
 pub(super) async fn run(mut cx: RequestContext) -> Result<Response<Body>, Rejection> {
     let mut retry = RetryState::default();
     let last_event_id = cx.metadata.last_event_id;
+    let resumable = cx.route.as_ref().is_some_and(|route| route.resumable);
+    if resumable {
+        permit_versions(&mut cx, &mut retry).await?;
+    }
     let started = start(&mut cx, &mut retry, last_event_id).await;
     match started {
         None => Err(retry.rejection(&cx)),
@@ -107,6 +113,14 @@
         Some(StreamStart::Stream(stream, event)) => {
             let (tx, body) = channel();
             let response = head(&stream.response).map(|()| body);
+            if resumable {
+                let version = stream.response.version.clone();
+                if !retry.resumes {
+                    stream_origins::record_begin(&cx, &version).await;
+                }
+                retry.resumes = true;
+                retry.versions = Some(vec![version]);
+            }
             let progress = StreamProgress {
                 last_event_id,
                 events: 0,
@@ -117,6 +131,27 @@
     }
 }
 
+/// Sets the versions that may serve a resumable stream: that of the server that
+/// began it, or for a new stream all registered ones.
+async fn permit_versions(cx: &mut RequestContext, retry: &mut RetryState) -> Result<(), Rejection> {
+    if cx.metadata.last_event_id.is_none() {
+        retry.versions = Some(cx.shared.origins.versions(&cx.service));
+        return Ok(());
+    }
+    let Some(origin) = stream_origins::find_origin(cx).await else {
+        let after_ms = cx.shared.settings().timing.retry_after_ms;
+        return Err(Rejection::after(RejectionReason::OriginUnknown, after_ms));
+    };
+    let mut services = cx.route.iter().flat_map(|route| &route.weighted_services);
+    if !services.any(|(service, _)| *service == origin.service) {
+        return Err(Rejection::new(RejectionReason::VersionGone));
+    }
+    cx.service = origin.service;
+    retry.versions = Some(vec![origin.version]);
+    retry.resumes = true;
+    Ok(())
+}
+
 /// Returns the head of the response to the caller.
 fn head(from_server: &ServerResponse) -> Response<()> {
     let mut response = Response::new(());
@@ -243,6 +278,7 @@
     tx: BodySender,
 ) {
     let first_ms = cx.arrived.elapsed().as_millis();
+    let version = stream.response.version.clone();
     let mut next = StreamItem::Event(event);
     let mut longest_gap = Duration::ZERO;
     let mut last_event_at = Instant::now();
@@ -297,6 +333,7 @@
     log::info!(
         id = cx.id(),
         outcome,
+        version = version.as_str(),
         events = progress.events,
         tokens = cx.reservation.as_ref().map(ReservationGuard::used),
         first_ms,
@@ -323,7 +360,7 @@
     record_usage(cx, progress.events);
     match started? {
         StreamStart::Stream(stream, event) => {
-            log::info!(id = cx.id(), server = stream.response.server.as_str(), after = progress.last_event_id; "stream resumed at another server");
+            log::info!(id = cx.id(), server = stream.response.server.as_str(), version = stream.response.version.as_str(), after = progress.last_event_id; "stream resumed at another server");
             Some((stream, Some(event)))
         }
         StreamStart::Empty(stream) => Some((stream, None)),
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod settings;
 mod store_availability;
 mod store_watch;
+mod stream_origins;
 mod upstream;
 
 pub use self::run::{Router, run};
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -20,8 +20,8 @@
 use crate::rpc::{self, Client, RpcRequest};
 
 /// The version of the messages between routers in this release. Version 1 adds
-/// the priority of a reservation.
-pub(crate) const PROTOCOL: u32 = 1;
+/// the priority of a reservation, version 2 the origins of streams.
+pub(crate) const PROTOCOL: u32 = 2;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
 const PROBE_PAUSE_MS: u64 = 500;
 /// Longest wait for the response to a probe, in milliseconds.
@@ -185,6 +185,25 @@
         ranked
     }
 
+    /// Returns all routers, including this one and unreachable ones, by descending
+    /// rendezvous weight for `key`.
+    pub(crate) fn fleet(&self, key: &str) -> Vec<RouterInstance> {
+        let mut fleet: Vec<RouterInstance> = self
+            .lock()
+            .values()
+            .map(|peer| peer.instance.clone())
+            .collect();
+        fleet.push(self.local.clone());
+        fleet.sort_by_key(|instance| std::cmp::Reverse(rendezvous_weight(key, &instance.vm)));
+        fleet
+    }
+
+    /// Returns whether a router responded to its last call.
+    pub(crate) fn is_reachable(&self, instance: &RouterInstance) -> bool {
+        let peers = self.lock();
+        peers.get(&instance.vm).is_some_and(|peer| peer.reachable)
+    }
+
     /// Calls a router. If the call fails, the router is marked unreachable.
     pub(crate) async fn call<Q: RpcRequest, A: DeserializeOwned>(
         &self,
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -133,6 +133,9 @@
     pub prompt: PromptProfile,
     /// The last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// ID of the caller's attempt that brought the first event of the stream
+    /// which this attempt resumes.
+    pub resumes: Option<String>,
 }
 
 /// Metadata that the router adds to a request to a backend server.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -22,6 +22,11 @@
     TokensShort,
     /// No server of the service accepts requests.
     NoServer,
+    /// The software version that began the resumed stream is unknown.
+    OriginUnknown,
+    /// No server of the software version that began the resumed stream accepts
+    /// requests.
+    VersionGone,
     /// No server to which an attempt was made ran the request.
     ServersFull,
     /// A server may have run the request, and no complete response was
@@ -45,6 +50,8 @@
             Self::BudgetExhausted => "budget-exhausted",
             Self::TokensShort => "tokens-short",
             Self::NoServer => "no-server",
+            Self::OriginUnknown => "origin-unknown",
+            Self::VersionGone => "version-gone",
             Self::ServersFull => "servers-full",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
@@ -64,6 +71,8 @@
             Self::NotConfigured
             | Self::TokensShort
             | Self::NoServer
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::ServersFull
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerBroke => StatusCode::BAD_GATEWAY,
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use peridotslip::{ids::Incarnation, ledger::GrantTransfer};
+use peridotslip::{forwarding::OriginReply, ids::Incarnation, ledger::GrantTransfer};
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
@@ -29,7 +29,7 @@
     ports::Platform,
     rpc,
     settings::Settings,
-    store_watch,
+    store_watch, stream_origins,
 };
 
 /// Why the router could not start.
@@ -124,6 +124,7 @@
             "router started"
         );
         store_watch::spawn(&shared);
+        tokio::spawn(stream_origins::register_versions(shared.clone()));
         tokio::spawn(rpc::serve(peer_listener, {
             let shared = shared.clone();
             move |request| handle_peer_request(shared.clone(), request)
@@ -173,6 +174,7 @@
     Transfer(Option<GrantTransfer>),
     Ceiling(Option<u64>),
     CeilingAck(CeilingAck),
+    Origin(OriginReply),
     Done(bool),
 }
 
@@ -241,6 +243,14 @@
             shared.peers.set_leaving(incarnation);
             PeerResponse::Done(true)
         }
+        PeerRequest::RecordOrigin {
+            id,
+            origin,
+            keep_ms,
+        } => PeerResponse::Done(shared.origins.record(&id, origin, keep_ms)),
+        PeerRequest::FindOrigin { id, services } => {
+            PeerResponse::Origin(shared.origins.find(&id, &services))
+        }
         PeerRequest::Probe => PeerResponse::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip-edge/src/store_availability.rs
+++ b/crates/peridotslip-edge/src/store_availability.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns whether the store is available.
+    pub(crate) fn is_available(&self) -> bool {
+        self.observed.borrow().available
+    }
+
     /// Records that the store has replied to a call.
     pub(crate) fn record_success(&self) {
         self.observed.send_if_modified(|observed| {
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -211,6 +211,7 @@
         let (version, routes) = (index.version(), index.table().routes.len());
         if shared.set_index(index) {
             log::info!(version, routes, revision = item.revision; "routing table activated");
+            shared.origins.servers_changed();
             update_budgets(shared);
         }
     }
@@ -275,9 +276,11 @@
         let dialect = &self.0.platform.dialect;
         let server = dialect.decode_server(&item.key, &item.value)?;
         let id = server.id.clone();
-        let (address, state) = (server.address.clone(), server.state);
+        let (address, state, version) =
+            (server.address.clone(), server.state, server.version.clone());
         if self.0.placement().upsert(server) {
-            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, revision = item.revision; "server entry changed");
+            self.0.origins.servers_changed();
+            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, version = version.as_str(), revision = item.revision; "server entry changed");
         }
         Some(id)
     }
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -4,10 +4,11 @@
 //! services behind them, and the organisations whose API keys may use them.
 //! The types in this module do no I/O: [`RoutingIndex`] matches a request to a
 //! route, [`Placement`] selects a backend server, [`RetryBudget`] bounds
-//! retries, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
+//! retries, [`StreamOrigins`] holds at which software versions streams began, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
 //! orders waiting requests.
 
 mod index;
+mod origin;
 mod placement;
 mod retry_budget;
 mod server;
@@ -15,7 +16,11 @@
 
 pub use self::{
     index::{RouteMatch, RoutingIndex},
-    placement::{Placement, SelectedServer},
+    origin::{
+        MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, ServerVersion,
+        StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
+    },
+    placement::{Placement, SelectedServer, Selection},
     retry_budget::RetryBudget,
     server::{AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState},
     table::{
--- /dev/null
+++ b/crates/peridotslip/src/forwarding/origin.rs
@@ -0,0 +1,233 @@
+//! The software versions at which streams began.
+//!
+//! Servers of several software versions may serve one service side by side. A
+//! stream may resume only at a server of the version that began it, often at a
+//! router that has never seen the stream, because the one that began it has
+//! died.
+//!
+//! The metadata store holds the [`VersionHistory`] of each service: the versions
+//! in the order in which they were added. A router uses a version for streams
+//! only after it has read the version there. While it knows a single version, it
+//! records nothing. Once it knows more, it records each stream at a majority of
+//! the stream's witnesses, which are routers chosen by the stream's ID, before
+//! the caller gets the first event.
+//!
+//! Histories only grow, so whatever has never been recorded began at the first
+//! version. A router that lacks a stream's record therefore needs one witness
+//! that has it, or a majority that surely never had it. Without either, the
+//! origin is unknown. Routers may be partitioned from the store and see different
+//! histories; they may die, and witnesses lose their records when they do.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+/// The name of a version of servers' software.
+pub type ServerVersion = String;
+
+/// The number of witnesses of a stream.
+pub const ORIGIN_WITNESSES: usize = 3;
+/// Longest life of a stream over all attempts of its caller, in milliseconds.
+pub const MAX_STREAM_MS: u64 = 60_000;
+/// Interval at which expired records are removed, in milliseconds.
+const PURGE_INTERVAL_MS: u64 = 1_000;
+/// Largest number of records of one router, as a bound on its memory.
+const MAX_RECORDS: usize = 50_000;
+
+/// The versions that have ever served a service, in the order in which they were
+/// added.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct VersionHistory {
+    versions: Vec<ServerVersion>,
+}
+
+impl VersionHistory {
+    /// Adds a version. Returns `false` if the history contains it.
+    pub fn add(&mut self, version: &str) -> bool {
+        let new = !self.contains(version);
+        if new {
+            self.versions.push(version.to_owned());
+        }
+        new
+    }
+
+    /// Returns whether the history contains a version.
+    #[must_use]
+    pub fn contains(&self, version: &str) -> bool {
+        self.versions.iter().any(|known| known == version)
+    }
+
+    /// Returns the first version.
+    #[must_use]
+    pub fn first(&self) -> Option<&ServerVersion> {
+        self.versions.first()
+    }
+
+    /// Returns the only version, or `None` if there are several or none.
+    #[must_use]
+    pub fn only(&self) -> Option<&ServerVersion> {
+        self.versions.first().filter(|_| self.versions.len() == 1)
+    }
+
+    /// Returns all versions.
+    #[must_use]
+    pub fn versions(&self) -> &[ServerVersion] {
+        &self.versions
+    }
+}
+
+/// The service and the version whose server began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct StreamOrigin {
+    /// The service.
+    pub service: String,
+    /// The version of the server's software.
+    pub version: ServerVersion,
+}
+
+/// A witness's answer about one stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OriginReply {
+    /// The stream's origin, if the witness has a record of it.
+    pub origin: Option<StreamOrigin>,
+    /// Whether the witness would have a record if there had ever been one.
+    pub complete: bool,
+}
+
+/// A history and whether this router has all records of the service's streams.
+#[derive(Clone, Debug)]
+struct KnownHistory {
+    history: VersionHistory,
+    /// Whether the store held at most one version when this router first read
+    /// the history: then no stream had been recorded before.
+    from_first_record: bool,
+}
+
+/// What one router knows of versions and of streams' origins.
+#[derive(Clone, Debug)]
+pub struct StreamOrigins {
+    started_ms: u64,
+    histories: BTreeMap<String, KnownHistory>,
+    /// Origins by stream ID, each with the time at which it expires, in
+    /// milliseconds.
+    records: HashMap<String, (StreamOrigin, u64)>,
+    next_purge_ms: u64,
+}
+
+impl StreamOrigins {
+    /// Creates the state of a router that starts at `now_ms`.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            started_ms: now_ms,
+            histories: BTreeMap::new(),
+            records: HashMap::new(),
+            next_purge_ms: now_ms,
+        }
+    }
+
+    /// Applies a service's history. `stored` is what the store held before this
+    /// router added versions, and `history` what the store holds now.
+    pub fn set_history(&mut self, service: &str, stored: &VersionHistory, history: VersionHistory) {
+        let known = self
+            .histories
+            .entry(service.to_owned())
+            .or_insert_with(|| KnownHistory {
+                history: VersionHistory::default(),
+                from_first_record: stored.versions.len() <= 1,
+            });
+        known.history = history;
+    }
+
+    /// Returns the versions whose servers may begin streams of a service.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> &[ServerVersion] {
+        let known = self.histories.get(service);
+        known.map_or(&[], |known| known.history.versions())
+    }
+
+    /// Returns the first version of a service's history.
+    #[must_use]
+    pub fn first_version(&self, service: &str) -> Option<&ServerVersion> {
+        self.histories.get(service)?.history.first()
+    }
+
+    /// Returns whether streams of a service must be recorded at witnesses.
+    #[must_use]
+    pub fn must_record(&self, service: &str) -> bool {
+        self.versions(service).len() > 1
+    }
+
+    /// Records a stream's origin until `expires_ms`. Returns `false` if there are
+    /// too many records.
+    pub fn record(&mut self, id: &str, origin: StreamOrigin, expires_ms: u64, now_ms: u64) -> bool {
+        if now_ms >= self.next_purge_ms {
+            self.records.retain(|_, (_, expires)| now_ms < *expires);
+            self.next_purge_ms = now_ms + PURGE_INTERVAL_MS;
+        }
+        if self.records.len() >= MAX_RECORDS {
+            return false;
+        }
+        self.records.insert(id.to_owned(), (origin, expires_ms));
+        true
+    }
+
+    /// Looks up a stream that began at one of `services`.
+    #[must_use]
+    pub fn find(&self, id: &str, services: &[String], now_ms: u64) -> OriginReply {
+        let all_lifetimes_over = now_ms >= self.started_ms + MAX_STREAM_MS;
+        let complete = services.iter().all(|service| {
+            let known = self.histories.get(service);
+            known.is_some_and(|known| known.from_first_record || all_lifetimes_over)
+        });
+        OriginReply {
+            origin: self.records.get(id).map(|(origin, _)| origin.clone()),
+            complete,
+        }
+    }
+}
+
+/// What the witnesses' answers prove.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OriginVerdict {
+    /// The stream began there.
+    Recorded(StreamOrigin),
+    /// The stream was never recorded, so it began at its service's first version.
+    NeverRecorded,
+}
+
+/// Collects the witnesses' answers about one stream.
+#[derive(Clone, Debug)]
+pub struct OriginQuery {
+    majority: usize,
+    negative: usize,
+}
+
+/// Returns how many of a stream's witnesses must record it.
+#[must_use]
+pub fn origin_majority(witnesses: usize) -> usize {
+    witnesses / 2 + 1
+}
+
+impl OriginQuery {
+    /// Creates a query of a stream with this number of witnesses.
+    #[must_use]
+    pub fn new(witnesses: usize) -> Self {
+        Self {
+            majority: origin_majority(witnesses),
+            negative: 0,
+        }
+    }
+
+    /// Adds one witness's answer. Returns the verdict once there is one.
+    pub fn add(&mut self, reply: OriginReply) -> Option<OriginVerdict> {
+        if let Some(origin) = reply.origin {
+            return Some(OriginVerdict::Recorded(origin));
+        }
+        self.negative += usize::from(reply.complete);
+        (self.negative >= self.majority).then_some(OriginVerdict::NeverRecorded)
+    }
+}
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -7,9 +7,11 @@
 //! requests of other routers, so a router corrects a report by the requests
 //! that it has sent or seen finished since.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use super::{AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState};
+use super::{
+    AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState, ServerVersion,
+};
 use crate::members::rendezvous_weight;
 
 /// Prompt tokens that an engine processes in a millisecond, for weighing cached
@@ -189,6 +191,30 @@
     }
 }
 
+/// What a request requires of its server.
+#[derive(Clone, Copy, Debug)]
+pub struct Selection<'a> {
+    /// The service that the server belongs to.
+    pub service: &'a str,
+    /// The request's prompt.
+    pub prompt: &'a PromptProfile,
+    /// Servers that must not be selected again.
+    pub attempted: &'a [ServerId],
+    /// The software versions that the server may have; `None` if any may serve
+    /// the request.
+    pub versions: Option<&'a [ServerVersion]>,
+}
+
+impl Selection<'_> {
+    fn permits(&self, server: &ServerEntry) -> bool {
+        server.service == self.service
+            && !self.attempted.contains(&server.id)
+            && self
+                .versions
+                .is_none_or(|versions| versions.contains(&server.version))
+    }
+}
+
 /// The server selected for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SelectedServer {
@@ -277,6 +303,14 @@
         gone
     }
 
+    /// Returns the software versions of a service's servers.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> BTreeSet<&str> {
+        let servers = self.servers.values().map(|tracked| &tracked.server);
+        let servers = servers.filter(|server| server.service == service);
+        servers.map(|server| server.version.as_str()).collect()
+    }
+
     /// Returns the IDs of all servers.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
         self.servers.keys().map(String::as_str)
@@ -319,7 +353,13 @@
         attempted: &[ServerId],
         now_ms: u64,
     ) -> Option<ServerEntry> {
-        let selected = self.choose_with_kv_source(service, prompt, attempted, now_ms);
+        let selection = Selection {
+            service,
+            prompt,
+            attempted,
+            versions: None,
+        };
+        let selected = self.choose_with_kv_source(&selection, now_ms);
         selected.map(|selected| selected.server)
     }
 
@@ -327,27 +367,14 @@
     /// selected one can copy the beginning of the prompt.
     pub fn choose_with_kv_source(
         &mut self,
-        service: &str,
-        prompt: &PromptProfile,
-        attempted: &[ServerId],
+        selection: &Selection<'_>,
         now_ms: u64,
     ) -> Option<SelectedServer> {
+        let prompt = selection.prompt;
         let id = self
-            .lowest_cost_server(
-                service,
-                prompt,
-                attempted,
-                now_ms,
-                TrackedServer::is_available,
-            )
+            .lowest_cost_server(selection, now_ms, TrackedServer::is_available)
             .or_else(|| {
-                self.lowest_cost_server(
-                    service,
-                    prompt,
-                    attempted,
-                    now_ms,
-                    TrackedServer::accepts_requests,
-                )
+                self.lowest_cost_server(selection, now_ms, TrackedServer::accepts_requests)
             })?;
         let kv_source = self.kv_source(&id, prompt, now_ms);
         let tracked = self.servers.get_mut(&id)?;
@@ -429,20 +456,18 @@
         })
     }
 
-    /// Returns the eligible server of `service` with the lowest predicted cost.
+    /// Returns the eligible server with the lowest predicted cost.
     fn lowest_cost_server(
         &self,
-        service: &str,
-        prompt: &PromptProfile,
-        attempted: &[ServerId],
+        selection: &Selection<'_>,
         now_ms: u64,
         eligible: impl Fn(&TrackedServer, u64) -> bool,
     ) -> Option<ServerId> {
+        let prompt = selection.prompt;
         let candidates: Vec<&TrackedServer> = self
             .servers
             .values()
-            .filter(|tracked| tracked.server.service == service)
-            .filter(|tracked| !attempted.contains(&tracked.server.id) && eligible(tracked, now_ms))
+            .filter(|tracked| selection.permits(&tracked.server) && eligible(tracked, now_ms))
             .collect();
         let affinity_server = prompt
             .affinity_key()
--- a/crates/peridotslip/src/forwarding/server.rs
+++ b/crates/peridotslip/src/forwarding/server.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ServerVersion;
+
 /// A server's name; each registration has a new one.
 pub type ServerId = String;
 
@@ -28,6 +30,8 @@
     pub address: String,
     /// The server's data centre.
     pub data_centre: String,
+    /// The version of the server's software.
+    pub version: ServerVersion,
     /// Requests that the server runs at the same time.
     pub slots: u32,
     /// Whether the server accepts new requests.
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -4,8 +4,8 @@
 
 use peridotslip::forwarding::{
     AttemptOutcome, CallerLimits, Idempotency, LoadReport, Organisation, Placement, PromptProfile,
-    RetryBudget, RouteMatch, RoutingIndex, RoutingRule, RoutingTable, SelectedServer, ServerEntry,
-    ServerState,
+    RetryBudget, RouteMatch, RoutingIndex, RoutingRule, RoutingTable, SelectedServer, Selection,
+    ServerEntry, ServerState,
 };
 use proptest::prelude::*;
 
@@ -52,12 +52,22 @@
         service: "model".to_owned(),
         address: address(id),
         data_centre: data_centre.to_owned(),
+        version: "v1".to_owned(),
         slots: 8,
         state: ServerState::Ready,
         started_ms: 1,
     }
 }
 
+fn selection<'a>(prompt: &'a PromptProfile, attempted: &'a [String]) -> Selection<'a> {
+    Selection {
+        service: "model",
+        prompt,
+        attempted,
+        versions: None,
+    }
+}
+
 fn engines(count: usize) -> Placement {
     let mut placement = Placement::new("north");
     for i in 0..count {
@@ -162,7 +172,7 @@
 ) -> SelectedServer {
     let prompt = session_prompt(session, request);
     let selected = placement
-        .choose_with_kv_source("model", &prompt, &[], now_ms)
+        .choose_with_kv_source(&selection(&prompt, &[]), now_ms)
         .unwrap();
     placement.finish(&selected.server.id, AttemptOutcome::Answered, now_ms);
     selected
@@ -196,7 +206,7 @@
     let tried = [affinity_server.clone()];
 
     let prompt = session_prompt(1, 1);
-    let selected = placement.choose_with_kv_source("model", &prompt, &tried, 1_000);
+    let selected = placement.choose_with_kv_source(&selection(&prompt, &tried), 1_000);
 
     assert_eq!(selected.unwrap().kv_source, Some(address(&affinity_server)));
 }
@@ -222,9 +232,7 @@
 
         let prompt = session_prompt(1, 1);
         let selected = placement.choose_with_kv_source(
-            "model",
-            &prompt,
-            std::slice::from_ref(&affinity_server),
+            &selection(&prompt, std::slice::from_ref(&affinity_server)),
             now_ms,
         );
 
@@ -418,11 +426,11 @@
     let mut placement = engines(2);
     let prompt = session_prompt(1, 1);
     let warm = placement
-        .choose_with_kv_source("model", &prompt, &[], 0)
+        .choose_with_kv_source(&selection(&prompt, &[]), 0)
         .unwrap();
     placement.record_first_byte(&warm.server.id, warm.uncached_tokens, 50);
     let again = placement
-        .choose_with_kv_source("model", &session_prompt(1, 2), &[], 0)
+        .choose_with_kv_source(&selection(&session_prompt(1, 2), &[]), 0)
         .unwrap();
 
     assert_eq!(again.server.id, warm.server.id);
--- /dev/null
+++ b/crates/peridotslip/tests/stream_origins.rs
@@ -0,0 +1,233 @@
+//! Where streams began, in a simulated fleet whose routers die, restart and are
+//! partitioned from the store and from each other.
+
+use peridotslip::forwarding::{
+    MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginVerdict, StreamOrigin, StreamOrigins,
+    VersionHistory, origin_majority,
+};
+use proptest::prelude::*;
+
+const SERVICE: &str = "model";
+const ROUTERS: usize = 5;
+
+/// One step of the fleet. Routers and streams are chosen modulo their number;
+/// `reached` has a bit for each router that a call reaches.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Servers of a new version register, and a router adds the version.
+    AddVersion { router: usize },
+    /// A router reads the history.
+    ReadHistory { router: usize },
+    /// A stream begins at a server of the `version`th version that the router
+    /// knows.
+    Begin {
+        router: usize,
+        version: usize,
+        reached: u8,
+    },
+    /// A caller resumes a stream at a router.
+    Resume {
+        router: usize,
+        stream: usize,
+        reached: u8,
+        store_reached: bool,
+    },
+    /// A router loses all it knows and starts again.
+    Restart { router: usize },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let router = 0..ROUTERS;
+    let step = prop_oneof![
+        1 => router.clone().prop_map(|router| Step::AddVersion { router }),
+        3 => router.clone().prop_map(|router| Step::ReadHistory { router }),
+        4 => (router.clone(), 0..4_usize, any::<u8>()).prop_map(|(router, version, reached)| {
+            Step::Begin { router, version, reached }
+        }),
+        6 => (router.clone(), 0..50_usize, any::<u8>(), any::<bool>()).prop_map(
+            |(router, stream, reached, store_reached)| Step::Resume {
+                router,
+                stream,
+                reached,
+                store_reached,
+            }
+        ),
+        2 => router.prop_map(|router| Step::Restart { router }),
+        2 => (1..MAX_STREAM_MS / 2).prop_map(|ms| Step::Wait { ms }),
+    ];
+    proptest::collection::vec(step, 1..80)
+}
+
+struct Stream {
+    version: String,
+    began_ms: u64,
+}
+
+struct Fleet {
+    now_ms: u64,
+    stored: VersionHistory,
+    versions: usize,
+    routers: Vec<StreamOrigins>,
+    streams: Vec<Stream>,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        Self {
+            now_ms: 0,
+            stored: VersionHistory::default(),
+            versions: 0,
+            routers: vec![StreamOrigins::new(0); ROUTERS],
+            streams: Vec::new(),
+        }
+    }
+
+    fn witnesses(stream: usize) -> impl Iterator<Item = usize> {
+        (0..ORIGIN_WITNESSES).map(move |offset| (stream + offset) % ROUTERS)
+    }
+
+    fn add_version(&mut self, router: usize) {
+        let before = self.stored.clone();
+        self.versions += 1;
+        self.stored.add(&format!("v{}", self.versions));
+        self.routers[router].set_history(SERVICE, &before, self.stored.clone());
+    }
+
+    /// Begins a stream if the router knows a version and a majority of the
+    /// witnesses records it where that is needed.
+    fn begin(&mut self, router: usize, version: usize, reached: u8) {
+        let known = self.routers[router].versions(SERVICE);
+        let Some(version) = known.get(version % known.len().max(1)).cloned() else {
+            return;
+        };
+        let stream = self.streams.len();
+        if self.routers[router].must_record(SERVICE) {
+            let origin = StreamOrigin {
+                service: SERVICE.to_owned(),
+                version: version.clone(),
+            };
+            let expires_ms = self.now_ms + MAX_STREAM_MS;
+            let mut recorded = 0;
+            for witness in Self::witnesses(stream) {
+                if witness == router || reached & (1 << witness) != 0 {
+                    let state = &mut self.routers[witness];
+                    let id = stream.to_string();
+                    recorded +=
+                        usize::from(state.record(&id, origin.clone(), expires_ms, self.now_ms));
+                }
+            }
+            if recorded < origin_majority(ORIGIN_WITNESSES) {
+                // The caller got no event. The ID is not used again.
+                self.streams.push(Stream {
+                    version: String::new(),
+                    began_ms: 0,
+                });
+                return;
+            }
+        }
+        self.streams.push(Stream {
+            version,
+            began_ms: self.now_ms,
+        });
+    }
+
+    /// Returns the version at which a router resumes a stream.
+    fn resume(
+        &self,
+        router: usize,
+        stream: usize,
+        reached: u8,
+        store_reached: bool,
+    ) -> Option<String> {
+        let mut query = OriginQuery::new(ORIGIN_WITNESSES);
+        let services = [SERVICE.to_owned()];
+        for witness in Self::witnesses(stream) {
+            if witness != router && reached & (1 << witness) == 0 {
+                continue;
+            }
+            let reply = self.routers[witness].find(&stream.to_string(), &services, self.now_ms);
+            match query.add(reply) {
+                Some(OriginVerdict::Recorded(origin)) => return Some(origin.version),
+                Some(OriginVerdict::NeverRecorded) => {
+                    return self.routers[router].first_version(SERVICE).cloned();
+                }
+                None => {}
+            }
+        }
+        self.stored.only().filter(|_| store_reached).cloned()
+    }
+
+    fn run(&mut self, step: Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::AddVersion { router } => self.add_version(router),
+            Step::ReadHistory { router } => {
+                self.routers[router].set_history(SERVICE, &self.stored, self.stored.clone());
+            }
+            Step::Begin {
+                router,
+                version,
+                reached,
+            } => self.begin(router, version, reached),
+            Step::Resume {
+                router,
+                stream,
+                reached,
+                store_reached,
+            } => {
+                let Some(begun) = self.streams.get(stream % self.streams.len().max(1)) else {
+                    return Ok(());
+                };
+                if begun.version.is_empty() || self.now_ms >= begun.began_ms + MAX_STREAM_MS {
+                    return Ok(());
+                }
+                let stream = stream % self.streams.len();
+                let resumed = self.resume(router, stream, reached, store_reached);
+                if let Some(version) = resumed {
+                    prop_assert_eq!(&version, &begun.version);
+                }
+            }
+            Step::Restart { router } => self.routers[router] = StreamOrigins::new(self.now_ms),
+            Step::Wait { ms } => self.now_ms += ms,
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    /// Guards against ORDER: a stream goes on at its version or not at all.
+    #[test]
+    fn a_stream_never_resumes_at_another_version(steps in steps()) {
+        let mut fleet = Fleet::start();
+        for step in steps {
+            fleet.run(step)?;
+        }
+    }
+}
+
+#[test]
+fn every_stream_resumes_while_a_majority_of_its_witnesses_lives() {
+    let mut fleet = Fleet::start();
+    fleet.add_version(0);
+    for router in 0..ROUTERS {
+        fleet.run(Step::ReadHistory { router }).unwrap();
+    }
+    // Begins at the only version, and isn't recorded.
+    fleet.begin(0, 0, u8::MAX);
+    fleet.add_version(1);
+    for stream in 1..=20 {
+        let router = stream % ROUTERS;
+        fleet.run(Step::ReadHistory { router }).unwrap();
+        fleet.begin(router, stream, u8::MAX);
+    }
+    fleet.run(Step::Restart { router: 0 }).unwrap();
+
+    for (stream, begun) in fleet.streams.iter().enumerate() {
+        let resumed = fleet.resume((stream + 1) % ROUTERS, stream, u8::MAX, false);
+
+        assert_eq!(resumed.as_ref(), Some(&begun.version), "stream {stream}");
+    }
+}
