Repeat the reclaim of a dead router's grant after a conflict

Cause, from the log of a failed run (4 busy loops beside, 1 of 4 runs): the restarted owner read the record at 954.173, the witness wrote it at 954.174, so the owner's write of the reclaim conflicted and dropped the cached record. With nothing to report, no later exchange read the record again, and without a record no reclaim was tried.

Change: if an attempt is due and the record is unknown, it is read.

--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -153,7 +153,7 @@
         }
     }
 
-    async fn read_record(&self, key: &str) -> Result<(u64, ShardRecord), StoreError> {
+    pub(super) async fn read_record(&self, key: &str) -> Result<(u64, ShardRecord), StoreError> {
         self.metrics.store_call("get");
         match self.store.get(key).await? {
             Some(item) => decode_record(&item),
--- a/crates/peridotslip-edge/src/budgets/witness.rs
+++ b/crates/peridotslip-edge/src/budgets/witness.rs
@@ -47,6 +47,12 @@
         true
     }
 
+    /// Returns whether any attempt is due. Does not record it.
+    fn any_is_due(&self, now_ms: u64) -> bool {
+        let mut due = self.not_before_ms.values();
+        due.any(|not_before_ms| now_ms >= *not_before_ms)
+    }
+
     /// Forgets all routers but the holders in `dead`.
     fn retain(&mut self, dead: &[GrantHolder]) {
         self.not_before_ms
@@ -250,6 +256,16 @@
         if !self.is_owner(&budget.organisation) {
             return;
         }
+        if cached.is_none() && attempted.any_is_due(self.clock.now_ms()) {
+            // An attempt failed, and there may be nothing to report that would
+            // read the record again.
+            match self.read_record(&budget.key).await {
+                Ok(record) => *cached = Some(record),
+                Err(err) => {
+                    log::warn!(budget = budget.name.as_str(), reason = err.to_string().as_str(); "can't read the record to reclaim unused tokens; retrying later");
+                }
+            }
+        }
         let Some((_, record)) = cached.as_ref() else {
             return;
         };
