Read the store's epoch beside every revision, and believe no older server entries

Cause: revisions were compared without the epoch in which they had been given out, so a watch missed what was written under a number that it had passed; entries of the copy were believed; routers and server versions were registered once.

A higher epoch ends all watches. A leaving server never becomes ready again without a restart; a removed one whose entry is restored is used once it writes again; missing ones have the time in which servers register again. Restored entries do not replace known routers. Routers and versions register again, versions once more after late writes.

--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -10,7 +10,7 @@
 use super::{BudgetManager, ManagedBudget, lock, witness::ReclaimAttempts};
 use crate::{
     clock::Clock,
-    ports::{CasOutcome, Item, StoreError},
+    ports::{CasOutcome, Item, Revision, StoreError},
 };
 
 /// The shortest pause between two exchanges with a record, in milliseconds.
@@ -24,7 +24,7 @@
 const MAX_SWAP_ATTEMPTS: u32 = 6;
 
 /// A record and its revision, if they are known.
-pub(super) type CachedRecord = Option<(u64, ShardRecord)>;
+pub(super) type CachedRecord = Option<(Revision, ShardRecord)>;
 
 impl BudgetManager {
     /// Exchanges reports with the record of one organisation until the process
@@ -117,7 +117,7 @@
                 }
                 CasOutcome::Conflict(item) => {
                     *cached = item.as_ref().map(decode_record).transpose()?;
-                    log::info!(budget = budget.name.as_str(), revision; "another router has changed the record; retrying with its version");
+                    log::info!(budget = budget.name.as_str(), revision = revision.number; "another router has changed the record; retrying with its version");
                 }
             }
         }
@@ -153,11 +153,14 @@
         }
     }
 
-    pub(super) async fn read_record(&self, key: &str) -> Result<(u64, ShardRecord), StoreError> {
+    pub(super) async fn read_record(
+        &self,
+        key: &str,
+    ) -> Result<(Revision, ShardRecord), StoreError> {
         self.metrics.store_call("get");
-        match self.store.get(key).await? {
-            Some(item) => decode_record(&item),
-            None => Ok((0, ShardRecord::default())),
+        match self.store.get_for_swap(key).await? {
+            (_, Some(item)) => decode_record(&item),
+            (revision, None) => Ok((revision, ShardRecord::default())),
         }
     }
 
@@ -180,7 +183,7 @@
     }
 }
 
-fn decode_record(item: &Item) -> Result<(u64, ShardRecord), StoreError> {
+fn decode_record(item: &Item) -> Result<(Revision, ShardRecord), StoreError> {
     let record =
         ShardRecord::decode(&item.value).map_err(|err| StoreError::Unreadable(err.to_string()))?;
     Ok((item.revision, record))
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -106,6 +106,11 @@
         peers.insert(instance.vm, peer);
     }
 
+    /// Returns whether the entry of a VM's router is known.
+    pub(crate) fn knows(&self, vm: &str) -> bool {
+        self.lock().contains_key(vm)
+    }
+
     /// Removes the entry of a VM's router.
     pub(crate) fn remove(&self, vm: &str) {
         if self.lock().remove(vm).is_some() {
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -7,12 +7,13 @@
 //! In this crate, `version` is the number of a routing table and `revision` the
 //! number of a change in the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use http::{HeaderMap, StatusCode};
 use peridotslip::forwarding::{LoadReport, PromptProfile, RoutingTable, ServerEntry};
 use quick_error::quick_error;
+use tokio::sync::watch;
 
 quick_error! {
     /// Why a call to the metadata store failed.
@@ -30,6 +31,12 @@
         Compacted {
             display("the store has compacted the requested history; list the keys again")
         }
+        /// The store was restored from an older copy of itself, so that the call
+        /// or its reply belongs to an earlier epoch. A write may or may not have
+        /// taken effect.
+        Restored {
+            display("the store was restored from an older copy; read the keys again")
+        }
         /// The store's reply can't be decoded.
         Unreadable(reason: String) {
             display("the store's reply can't be decoded ({reason}); check that the adapter supports the store's version")
@@ -40,6 +47,35 @@
 /// The result of a call to the store.
 pub type StoreResult<T> = Result<T, StoreError>;
 
+/// How often the store has been restored from an older copy of itself. What had
+/// been written since the copy is lost then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreEpoch(pub u64);
+
+/// The number of a change in the store. A restored store gives numbers out
+/// again, so a number means nothing outside its epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision {
+    /// The epoch in which the change was read.
+    pub epoch: StoreEpoch,
+    /// The number of the change; 0 for a key that does not exist.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Returns the revision of a key that does not exist.
+    #[must_use]
+    pub fn absent(epoch: StoreEpoch) -> Self {
+        Self { epoch, number: 0 }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.number.fmt(f)
+    }
+}
+
 /// A key's value and the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -48,7 +84,7 @@
     /// The value.
     pub value: Vec<u8>,
     /// The revision that a compare-and-swap must expect to replace the item.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// One change of a watched key.
@@ -66,7 +102,7 @@
     /// The items.
     pub items: Vec<Item>,
     /// The store's revision before the first item was read.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The changes under a prefix after a revision.
@@ -75,25 +111,47 @@
     /// The changes in the order in which they were made.
     pub events: Vec<WatchEvent>,
     /// The revision from which to continue the watch.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The outcome of a compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CasOutcome {
     /// The value was written. Holds its revision.
-    Done(u64),
+    Done(Revision),
     /// The key is not at the expected revision; nothing was written. Holds the
     /// current item.
     Conflict(Option<Item>),
 }
 
 /// The platform's key-value service.
+///
+/// Calls fail with [`StoreError::Restored`] if their revision or their reply does
+/// not belong to the newest epoch.
 #[async_trait]
 pub trait MetadataStore: Send + Sync {
+    /// Returns the newest epoch that any reply has named.
+    fn epoch(&self) -> watch::Receiver<StoreEpoch>;
+
     /// Reads a key.
     async fn get(&self, key: &str) -> StoreResult<Option<Item>>;
 
+    /// Reads a key and the revision at which a compare-and-swap replaces or
+    /// creates it.
+    async fn get_for_swap(&self, key: &str) -> StoreResult<(Revision, Option<Item>)> {
+        let before = *self.epoch().borrow();
+        let item = self.get(key).await?;
+        if let Some(item) = item {
+            return Ok((item.revision, Some(item)));
+        }
+        let epoch = *self.epoch().borrow();
+        // The epoch is not known before the first reply.
+        if epoch != before && before != StoreEpoch::default() {
+            return Err(StoreError::Restored);
+        }
+        Ok((Revision::absent(epoch), None))
+    }
+
     /// Reads all keys that begin with `prefix`.
     async fn list(&self, prefix: &str) -> StoreResult<Listing>;
 
@@ -101,16 +159,15 @@
     async fn watch(
         &self,
         prefix: &str,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> StoreResult<WatchResponse>;
 
-    /// Writes `value` if the key is at `revision`. Revision 0 means that the key
-    /// does not exist.
+    /// Writes `value` if the key is at `revision`.
     async fn compare_and_swap(
         &self,
         key: &str,
-        revision: u64,
+        revision: Revision,
         value: &[u8],
     ) -> StoreResult<CasOutcome>;
 
--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -72,11 +72,10 @@
 /// store holds the entry; `false` means that another write came first.
 async fn register_once(store: &dyn MetadataStore, local: &RouterInstance) -> StoreResult<bool> {
     let key = key(&local.vm);
-    let found = store.get(&key).await?;
+    let (revision, found) = store.get_for_swap(&key).await?;
     if found.as_ref().and_then(decode).as_ref() == Some(local) {
         return Ok(true);
     }
-    let revision = found.map_or(0, |item| item.revision);
     let entry = Entry {
         member: local.clone(),
     };
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -7,13 +7,16 @@
 };
 
 use peridotslip::{
-    forwarding::{RoutingIndex, ServerId},
+    forwarding::{RoutingIndex, ServerEntry, ServerId},
     ids::OrganisationName,
 };
+use tokio::sync::watch;
 
 use crate::{
     context::SharedState,
-    ports::{Item, Listing, StoreError, StoreResult, WatchEvent, WatchResponse},
+    ports::{
+        Item, Listing, Revision, StoreEpoch, StoreError, StoreResult, WatchEvent, WatchResponse,
+    },
     registry,
     store_availability::Outage,
 };
@@ -72,13 +75,23 @@
     }
     /// Applies one change.
     fn on_event(&mut self, event: WatchEvent);
-    /// Applies all items under the prefix. `outage` is the outage that this
-    /// listing ends, if any.
-    fn on_list(&mut self, items: Vec<Item>, outage: Option<Outage>);
+    /// Applies all items under the prefix.
+    fn on_list(&mut self, listing: Listing, cause: ListCause);
     /// Called after all changes of a watch or listing have been applied.
     fn on_batch_end(&mut self);
 }
 
+/// Why a prefix is listed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ListCause {
+    /// The outage that the listing ends, if any.
+    outage: Option<Outage>,
+    /// When the watch got its last reply before the store was restored from an
+    /// older copy, if it was. The items may be older than what the watch has
+    /// seen.
+    restored_after: Option<Instant>,
+}
+
 /// A reply of the store to a watcher's call.
 enum StoreReply {
     Listing(Listing),
@@ -90,7 +103,7 @@
 async fn read_store(
     shared: &SharedState,
     watcher: &impl PrefixWatcher,
-    revision: Option<u64>,
+    revision: Option<Revision>,
     probing: bool,
 ) -> StoreResult<StoreReply> {
     let store = &shared.platform.store;
@@ -115,6 +128,9 @@
     // When this watch lost the store; `None` while it has the store.
     let mut lost_at: Option<Instant> = None;
     let mut availability = shared.store_availability.subscribe();
+    let mut epoch = shared.platform.store.epoch();
+    // The epoch and the time of the last reply.
+    let mut last_reply: Option<(StoreEpoch, Instant)> = None;
     loop {
         let probing = lost_at.is_some() || !availability.is_available();
         let started = Instant::now();
@@ -124,6 +140,12 @@
             // one has not: this call may never get a response, so a new one
             // replaces it.
             () = availability.changed_to(probing) => continue,
+            // A watch from a revision of an earlier epoch misses changes.
+            () = epoch_changed(&mut epoch, revision) => {
+                log::warn!(feed = watcher.name(), epoch = epoch.borrow().0; "store was restored from an older copy; listing all keys");
+                revision = None;
+                continue;
+            }
         };
         match outcome {
             Ok(reply) => {
@@ -133,8 +155,17 @@
                     .map(|began| shared.store_availability.outage_since(began));
                 revision = Some(match reply {
                     StoreReply::Listing(listing) => {
-                        watcher.on_list(listing.items, outage);
-                        listing.revision
+                        let epoch = listing.revision.epoch;
+                        let restored_after = last_reply
+                            .filter(|(replied_in, _)| *replied_in < epoch)
+                            .map(|(_, at)| at);
+                        let cause = ListCause {
+                            outage,
+                            restored_after,
+                        };
+                        let revision = listing.revision;
+                        watcher.on_list(listing, cause);
+                        revision
                     }
                     StoreReply::Changes(response) => {
                         for event in response.events {
@@ -143,9 +174,10 @@
                         response.revision
                     }
                 });
+                last_reply = revision.map(|revision| (revision.epoch, Instant::now()));
                 if let Some(outage) = outage {
                     let after_ms = as_ms(outage.began.elapsed());
-                    log::info!(feed = watcher.name(), after_ms, revision; "store is available again");
+                    log::info!(feed = watcher.name(), after_ms, revision = revision.map(|revision| revision.number); "store is available again");
                 }
                 backoff_ms = FIRST_BACKOFF_MS;
                 watcher.on_batch_end();
@@ -157,6 +189,7 @@
                 log::warn!(feed = watcher.name(); "store has compacted its history; listing all keys");
                 revision = None;
             }
+            Err(StoreError::Restored) => revision = None,
             Err(err) => {
                 shared.metrics.store_failed();
                 shared.store_availability.record_failure(started);
@@ -176,6 +209,15 @@
     }
 }
 
+/// Waits until the store's epoch is later than that of `revision`.
+async fn epoch_changed(epoch: &mut watch::Receiver<StoreEpoch>, revision: Option<Revision>) {
+    let newer = |epoch: &StoreEpoch| revision.is_some_and(|revision| *epoch > revision.epoch);
+    if epoch.wait_for(newer).await.is_err() {
+        // The client of the store lives as long as the process.
+        std::future::pending::<()>().await;
+    }
+}
+
 fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
@@ -185,7 +227,10 @@
     tokio::spawn(list_and_watch(shared.clone(), TableWatcher(shared.clone())));
     tokio::spawn(list_and_watch(
         shared.clone(),
-        ServersWatcher(shared.clone()),
+        ServersWatcher {
+            shared: shared.clone(),
+            restored_revision: None,
+        },
     ));
     tokio::spawn(list_and_watch(
         shared.clone(),
@@ -210,7 +255,7 @@
         let index = RoutingIndex::build(table);
         let (version, routes) = (index.version(), index.table().routes.len());
         if shared.set_index(index) {
-            log::info!(version, routes, revision = item.revision; "routing table activated");
+            log::info!(version, routes, revision = item.revision.number; "routing table activated");
             shared.origins.servers_changed();
             update_budgets(shared);
         }
@@ -258,8 +303,8 @@
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, _outage: Option<Outage>) {
-        for item in &items {
+    fn on_list(&mut self, listing: Listing, _cause: ListCause) {
+        for item in &listing.items {
             self.apply(item);
         }
     }
@@ -268,26 +313,36 @@
 }
 
 /// Applies changes of the backend servers' entries.
-struct ServersWatcher(Arc<SharedState>);
+struct ServersWatcher {
+    shared: Arc<SharedState>,
+    /// The revision of the first listing after the store was restored. Older
+    /// entries may be of servers that had been removed before.
+    restored_revision: Option<Revision>,
+}
 
 impl ServersWatcher {
-    /// Applies a server's entry and returns the server's ID.
-    fn apply(&self, item: &Item) -> Option<ServerId> {
-        let dialect = &self.0.platform.dialect;
-        let server = dialect.decode_server(&item.key, &item.value)?;
+    fn decode(&self, item: &Item) -> Option<ServerEntry> {
+        let dialect = &self.shared.platform.dialect;
+        dialect.decode_server(&item.key, &item.value)
+    }
+
+    /// Applies a server's entry.
+    fn apply(&self, server: ServerEntry, revision: Revision) {
         let id = server.id.clone();
         let (address, state, version) =
             (server.address.clone(), server.state, server.version.clone());
-        if self.0.placement().upsert(server) {
-            self.0.origins.servers_changed();
-            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, version = version.as_str(), revision = item.revision; "server entry changed");
+        if self.shared.placement().upsert(server) {
+            self.shared.origins.servers_changed();
+            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, version = version.as_str(), revision = revision.number; "server entry changed");
         }
-        Some(id)
     }
 
     /// Removes the servers that have been without an entry for too long.
     fn remove_gone(&self) {
-        let gone = self.0.placement().remove_gone(self.0.clock.now_ms());
+        let gone = self
+            .shared
+            .placement()
+            .remove_gone(self.shared.clock.now_ms());
         for id in gone {
             log::info!(server = id.as_str(), reason = "entry missing"; "server removed");
         }
@@ -300,7 +355,7 @@
     }
 
     fn prefix(&self) -> &str {
-        self.0.platform.dialect.servers_prefix()
+        self.shared.platform.dialect.servers_prefix()
     }
 
     fn watch_timeout(&self) -> Duration {
@@ -318,11 +373,13 @@
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => {
-                self.apply(&item);
+                if let Some(server) = self.decode(&item) {
+                    self.apply(server, item.revision);
+                }
             }
             WatchEvent::Removed(key) => {
                 if let Some(id) = key.strip_prefix(self.prefix())
-                    && self.0.placement().remove(id)
+                    && self.shared.placement().remove(id)
                 {
                     log::info!(server = id, reason = "entry removed"; "server removed");
                 }
@@ -330,19 +387,40 @@
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, outage: Option<Outage>) {
+    fn on_list(&mut self, listing: Listing, cause: ListCause) {
         self.remove_gone();
-        let listed: HashSet<ServerId> = items.iter().filter_map(|item| self.apply(item)).collect();
-        let grace = match outage {
-            Some(outage) if outage.began.elapsed() > Duration::from_millis(LONG_OUTAGE_MS) => {
-                let grace = Duration::from_millis(REREGISTER_GRACE_MS);
-                grace.saturating_sub(outage.last_failure.elapsed())
+        if cause.restored_after.is_some() {
+            self.restored_revision = Some(listing.revision);
+        }
+        let mut listed = HashSet::new();
+        for item in &listing.items {
+            let Some(server) = self.decode(item) else {
+                continue;
+            };
+            let id = server.id.clone();
+            let may_be_restored = self
+                .restored_revision
+                .is_some_and(|restored| item.revision <= restored);
+            if may_be_restored && self.shared.placement().was_removed(&server) {
+                log::info!(server = id.as_str(), revision = item.revision.number; "restored entry of a removed server; waiting until the server writes it");
+                continue;
             }
-            _ => Duration::ZERO,
-        };
+            self.apply(server, item.revision);
+            listed.insert(id);
+        }
+        let long_outage = cause
+            .outage
+            .filter(|outage| outage.began.elapsed() > Duration::from_millis(LONG_OUTAGE_MS));
+        // The store returned, or was restored, after this time.
+        let before_return = long_outage
+            .map(|outage| outage.last_failure)
+            .or(cause.restored_after);
+        let grace = before_return.map_or(Duration::ZERO, |at| {
+            Duration::from_millis(REREGISTER_GRACE_MS).saturating_sub(at.elapsed())
+        });
         let grace_ms = as_ms(grace);
-        let gone_at_ms = self.0.clock.now_ms() + grace_ms;
-        let missing = self.0.placement().expire_unlisted(&listed, gone_at_ms);
+        let gone_at_ms = self.shared.clock.now_ms() + grace_ms;
+        let missing = self.shared.placement().expire_unlisted(&listed, gone_at_ms);
         if missing > 0 {
             log::info!(missing, grace_ms; "servers without an entry; removed unless they register again");
         }
@@ -350,10 +428,10 @@
 
     fn on_batch_end(&mut self) {
         self.remove_gone();
-        let placement = self.0.placement();
+        let placement = self.shared.placement();
         let known: HashSet<ServerId> = placement.ids().map(ToOwned::to_owned).collect();
         drop(placement);
-        self.0.upstream.evict_idle(|id| known.contains(id));
+        self.shared.upstream.evict_idle(|id| known.contains(id));
     }
 }
 
@@ -393,8 +471,13 @@
         }
     }
 
-    fn on_list(&mut self, items: Vec<Item>, _outage: Option<Outage>) {
-        for item in items {
+    fn on_list(&mut self, listing: Listing, cause: ListCause) {
+        for item in listing.items {
+            // A restored entry may name an earlier incarnation than the known one.
+            let vm = item.key.strip_prefix(registry::PREFIX);
+            if cause.restored_after.is_some() && vm.is_some_and(|vm| self.0.peers.knows(vm)) {
+                continue;
+            }
             self.on_event(WatchEvent::Put(item));
         }
         self.0.peers.set_synced();
@@ -407,8 +490,20 @@
 }
 
 /// Registers this router in the store, and then permits it to spend budgets.
+/// Registers again in each later epoch of the store.
 async fn register(shared: Arc<SharedState>) {
     let store = shared.platform.store.clone();
-    registry::register(store.as_ref(), shared.peers.local(), &shared.metrics).await;
-    shared.budgets.set_registered();
+    let mut epoch = store.epoch();
+    loop {
+        epoch.mark_unchanged();
+        registry::register(store.as_ref(), shared.peers.local(), &shared.metrics).await;
+        shared.budgets.set_registered();
+        let registered_in = *epoch.borrow();
+        // The first reply names the epoch of the registration itself.
+        let later = |epoch: &StoreEpoch| *epoch > registered_in;
+        if epoch.wait_for(later).await.is_err() {
+            return;
+        }
+        log::info!(epoch = epoch.borrow().0; "store was restored from an older copy; registering again");
+    }
 }
--- a/crates/peridotslip-edge/src/stream_origins.rs
+++ b/crates/peridotslip-edge/src/stream_origins.rs
@@ -12,14 +12,14 @@
     MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, RoutingRule,
     ServerVersion, StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
 };
-use tokio::{sync::Notify, task::JoinSet};
+use tokio::{sync::Notify, task::JoinSet, time::Instant};
 
 use crate::{
     budgets::PeerRequest,
     clock::Clock,
     context::{RequestContext, SharedState},
     peers::{Peers, RouterInstance},
-    ports::{CasOutcome, Item, StoreError, StoreResult},
+    ports::{CasOutcome, Item, Revision, StoreError, StoreResult},
     rpc,
 };
 
@@ -35,6 +35,9 @@
 /// Pause between two attempts to record a stream at its witnesses while its
 /// events are already forwarded, in milliseconds.
 const RECORD_RETRY_MS: u64 = 500;
+/// How long after a restore of the store an earlier write may take effect, in
+/// milliseconds.
+const LATE_WRITE_MS: u64 = 10_000;
 /// Pause after the first failed call to the store, in milliseconds; doubled after
 /// each further one.
 const FIRST_BACKOFF_MS: u64 = 100;
@@ -110,23 +113,56 @@
 
 /// Registers the versions of servers in the store until the process ends.
 pub(crate) async fn register_versions(shared: Arc<SharedState>) {
-    let mut backoff_ms = FIRST_BACKOFF_MS;
+    let mut epoch = shared.platform.store.epoch();
+    let mut check_again_at: Option<Instant> = None;
     loop {
-        let Some((service, versions)) = unregistered(&shared) else {
-            shared.origins.servers_changed.notified().await;
-            continue;
+        while let Some((service, versions)) = unregistered(&shared) {
+            register_with_retries(&shared, &service, &versions).await;
+        }
+        let check_again = async {
+            match check_again_at {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
         };
-        match register(&shared, &service, &versions).await {
-            Ok(()) => backoff_ms = FIRST_BACKOFF_MS,
-            Err(err) => {
-                log::warn!(service = service.as_str(), reason = err.to_string().as_str(); "can't register server versions; their servers get no streams until a retry succeeds");
-                tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+        tokio::select! {
+            () = shared.origins.servers_changed.notified() => {}
+            Ok(()) = epoch.changed() => {
+                register_known_versions(&shared).await;
+                // A write that was sent before the restore may still replace a
+                // history.
+                check_again_at = Some(Instant::now() + Duration::from_millis(LATE_WRITE_MS));
+            }
+            () = check_again => {
+                register_known_versions(&shared).await;
+                check_again_at = None;
             }
         }
     }
 }
 
+/// Adds all known versions to the histories in the store, from which a restore
+/// may have removed them.
+async fn register_known_versions(shared: &SharedState) {
+    let services: Vec<String> = {
+        let origins = shared.origins.lock();
+        origins.services().map(ToOwned::to_owned).collect()
+    };
+    for service in services {
+        let versions = shared.origins.versions(&service);
+        register_with_retries(shared, &service, &versions).await;
+    }
+}
+
+async fn register_with_retries(shared: &SharedState, service: &str, versions: &[ServerVersion]) {
+    let mut backoff_ms = FIRST_BACKOFF_MS;
+    while let Err(err) = register(shared, service, versions).await {
+        log::warn!(service, reason = err.to_string().as_str(); "can't register server versions; new ones get no streams until a retry succeeds");
+        tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+        backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+    }
+}
+
 /// Returns a service with resumable streams that has servers of unregistered
 /// versions, and these versions.
 fn unregistered(shared: &SharedState) -> Option<(String, Vec<ServerVersion>)> {
@@ -161,7 +197,7 @@
     let store = &shared.platform.store;
     let key = format!("{PREFIX}{service}");
     shared.metrics.store_call("versions");
-    let mut item = store.get(&key).await?;
+    let (mut revision, mut item) = store.get_for_swap(&key).await?;
     loop {
         let stored = decode(item.as_ref())?;
         let mut history = stored.clone();
@@ -172,11 +208,13 @@
         if added > 0 {
             let value = serde_json::to_vec(&history)
                 .map_err(|err| StoreError::Unreadable(err.to_string()))?;
-            let revision = item.as_ref().map_or(0, |item| item.revision);
             shared.metrics.store_call("versions");
             if let CasOutcome::Conflict(current) =
                 store.compare_and_swap(&key, revision, &value).await?
             {
+                revision = current
+                    .as_ref()
+                    .map_or(Revision::absent(revision.epoch), |item| item.revision);
                 item = current;
                 continue;
             }
--- a/crates/peridotslip/src/forwarding/origin.rs
+++ b/crates/peridotslip/src/forwarding/origin.rs
@@ -130,7 +130,8 @@
     }
 
     /// Applies a service's history. `stored` is what the store held before this
-    /// router added versions, and `history` what the store holds now.
+    /// router added versions, and `history` what the store holds now. What this
+    /// router knows beyond that stays known.
     pub fn set_history(&mut self, service: &str, stored: &VersionHistory, history: VersionHistory) {
         let known = self
             .histories
@@ -139,7 +140,15 @@
                 history: VersionHistory::default(),
                 from_first_record: stored.versions.len() <= 1,
             });
-        known.history = history;
+        let before = std::mem::replace(&mut known.history, history);
+        for version in before.versions {
+            known.history.add(&version);
+        }
+    }
+
+    /// Returns the services with known histories.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.histories.keys().map(String::as_str)
     }
 
     /// Returns the versions whose servers may begin streams of a service.
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -7,7 +7,7 @@
 //! requests of other routers, so a router corrects a report by the requests
 //! that it has sent or seen finished since.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::{
     AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState, ServerVersion,
@@ -49,6 +49,8 @@
 /// How long an engine is assumed to cache a segment after its last use, in
 /// milliseconds.
 const SEGMENT_RETENTION_MS: u64 = 20_000;
+/// Number of removed servers that a router remembers.
+const MAX_REMOVED: usize = 1_000;
 /// Minimum number of tokens for a copy between engines; the setup of a copy
 /// takes 5 ms, so a shorter prefix is not worth copying.
 const MIN_COPIED_TOKENS: u64 = 160;
@@ -228,11 +230,20 @@
     pub uncached_tokens: u64,
 }
 
+/// A server that has been removed. A restored store may contain its entry again.
+#[derive(Clone, Debug)]
+struct RemovedServer {
+    id: ServerId,
+    started_ms: u64,
+}
+
 /// The servers of all services, with this router's observations of each.
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     data_centre: String,
     servers: BTreeMap<ServerId, TrackedServer>,
+    /// The last removed servers, the latest last.
+    removed: VecDeque<RemovedServer>,
 }
 
 #[allow(clippy::cast_precision_loss)]
@@ -247,18 +258,22 @@
     pub fn new(data_centre: &str) -> Self {
         Self {
             data_centre: data_centre.to_owned(),
-            servers: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
     /// Inserts or updates a server's entry. A restart or a new address resets the
-    /// observations of the server. Returns whether the entry changed.
-    pub fn upsert(&mut self, server: ServerEntry) -> bool {
+    /// observations of the server. An entry can't take back that a server is
+    /// leaving. Returns whether the entry changed.
+    pub fn upsert(&mut self, mut server: ServerEntry) -> bool {
         match self.servers.get_mut(&server.id) {
             Some(tracked)
                 if tracked.server.started_ms == server.started_ms
                     && tracked.server.address == server.address =>
             {
+                if tracked.server.state == ServerState::Draining {
+                    server.state = ServerState::Draining;
+                }
                 let changed = tracked.server != server;
                 tracked.server = server;
                 tracked.gone_at_ms = None;
@@ -274,7 +289,28 @@
 
     /// Removes a server. Returns whether the server was present.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.servers.remove(id).is_some()
+        let Some(tracked) = self.servers.remove(id) else {
+            return false;
+        };
+        self.removed.retain(|removed| removed.id != id);
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_front();
+        }
+        self.removed.push_back(RemovedServer {
+            id: tracked.server.id,
+            started_ms: tracked.server.started_ms,
+        });
+        true
+    }
+
+    /// Returns whether a server has been removed and hasn't restarted since.
+    #[must_use]
+    pub fn was_removed(&self, server: &ServerEntry) -> bool {
+        !self.servers.contains_key(&server.id)
+            && self
+                .removed
+                .iter()
+                .any(|removed| removed.id == server.id && removed.started_ms == server.started_ms)
     }
 
     /// Sets the time from which on the servers that are not in `listed` count
@@ -298,7 +334,7 @@
             .map(|tracked| tracked.server.id.clone())
             .collect();
         for id in &gone {
-            self.servers.remove(id);
+            self.remove(id);
         }
         gone
     }
