Make the ledger records of an epoch anew after a restore of the store

Cause: the record was taken for the truth. Ruled out: routers' own state (cumulative, and kept over a restore).

Change: each later epoch has records under keys of its own, so a late write of an earlier epoch lands where nobody reads. The owner makes a record from the newest that a running router has written, or the copy, and from what all routers hold: grants, returns, and the settlements confirmed in the last 30 s, which are numbered and count once. What an ended router may have been granted since is bounded by that record, or, if all others run, by the ceilings at its witnesses; else, and for a router that is silent for 5 s, all free tokens are charged to it. Until then nothing is granted and routers spend what they hold. The first epoch keeps today's keys, so nothing changes on a store without restores but one key. Decisions are in ledger/reconcile.rs, without I/O. Messages between routers: version 3.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -12,6 +12,7 @@
 mod lending;
 mod managed_budget;
 mod messages;
+mod reconcile;
 mod scarcity;
 mod settle;
 mod witness;
@@ -19,7 +20,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -38,6 +39,7 @@
     messages::{
         CeilingAck, LEAST_URGENT, PeerRequest, ReservationId, ReservationRequest, ReserveReply,
     },
+    reconcile::HoldingReply,
     settle::ReservationGuard,
 };
 
@@ -46,12 +48,10 @@
     latch::Latch,
     metrics::Metrics,
     peers::{Peers, RouterInstance},
-    ports::MetadataStore,
+    ports::{MetadataStore, StoreEpoch},
     settings::Money,
 };
 
-/// The prefix of the keys of ledger records. The organisation's name follows.
-const LEDGER_PREFIX: &str = "peridotslip/ledger/";
 /// How long the headroom of a router that is not the owner should last, in
 /// milliseconds.
 const FAILOVER_HORIZON_MS: u64 = 2_000;
@@ -143,6 +143,8 @@
     leaving: AtomicBool,
     /// Set once the store has this router's entry.
     registered: Latch,
+    /// The store's first epoch, once this router has read it.
+    first_epoch: OnceLock<StoreEpoch>,
     /// The ceilings that this router has recorded as a witness.
     ceilings: Mutex<WitnessedCeilings>,
 }
@@ -173,6 +175,7 @@
             next_seq: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             registered: Latch::default(),
+            first_epoch: OnceLock::new(),
             ceilings: Mutex::default(),
         });
         tokio::spawn(manager.clone().send_settlements());
@@ -341,7 +344,6 @@
             .with_refill_policy(self.refill_policy(organisation));
         let budget = Arc::new(ManagedBudget {
             organisation: organisation.clone(),
-            key: format!("{LEDGER_PREFIX}{organisation}"),
             witnesses: Mutex::default(),
             ceiling_lock: tokio::sync::Mutex::default(),
             store_unreachable: AtomicBool::new(false),
@@ -355,6 +357,9 @@
                 paced_until_ms: 0,
                 scarcity: ScarcityGate::default(),
             }),
+            write_lock: tokio::sync::Mutex::default(),
+            written: Mutex::default(),
+            record_wanted: Mutex::default(),
             refill: Notify::new(),
             refilled: Notify::new(),
         });
--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -2,15 +2,19 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use peridotslip::ledger::{Report, ReportReply, ShardRecord};
 
-use super::{BudgetManager, ManagedBudget, lock, witness::ReclaimAttempts};
+use super::{
+    BudgetManager, ManagedBudget, lock,
+    reconcile::{RETENTION_MS, WrittenRecord},
+    witness::ReclaimAttempts,
+};
 use crate::{
     clock::Clock,
-    ports::{CasOutcome, Item, Revision, StoreError},
+    ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError},
 };
 
 /// The shortest pause between two exchanges with a record, in milliseconds.
@@ -33,14 +37,49 @@
         let mut cached: CachedRecord = None;
         let mut attempted = ReclaimAttempts::default();
         let mut backoff_ms = FIRST_BACKOFF_MS;
+        let mut epoch = self.store.epoch();
+        // The epoch of the last record that was read.
+        let mut opened_in: Option<StoreEpoch> = None;
         self.registered.wait().await;
         loop {
             let interval = Duration::from_millis(self.settings.settle_ms);
-            let _timed_out = tokio::time::timeout(interval, budget.refill.notified()).await;
+            tokio::select! {
+                () = budget.refill.notified() => {}
+                Ok(()) = epoch.changed() => {}
+                () = tokio::time::sleep(interval) => {}
+            }
             let refill_policy = self.refill_policy(&budget.organisation);
             budget.lock().ledger.set_refill_policy(refill_policy);
             self.choose_witnesses(&budget).await;
-            let outcome = self.exchange(&budget, &mut cached).await;
+            if self.lacks_witnesses(&budget) {
+                tokio::time::sleep(Duration::from_millis(MIN_EXCHANGE_GAP_MS)).await;
+                budget.refill.notify_one();
+                continue;
+            }
+            let now_in = self.epoch();
+            if cached
+                .as_ref()
+                .is_some_and(|(revision, _)| revision.epoch != now_in)
+            {
+                cached = None;
+            }
+            let restored = opened_in.is_some_and(|before| before < now_in);
+            let opened = if restored && self.is_owner(&budget.organisation) {
+                self.open_record(&budget).await.map(Some)
+            } else {
+                Ok(cached.take())
+            };
+            let outcome = match opened {
+                Ok(record) => {
+                    cached = record;
+                    self.exchange(&budget, &mut cached).await
+                }
+                Err(err) => Err(err),
+            };
+            opened_in = cached
+                .as_ref()
+                .map(|(revision, _)| revision.epoch)
+                .or(opened_in);
             match outcome {
                 Ok(contacted) => {
                     if contacted {
@@ -77,10 +116,13 @@
             // While the store is unreachable, only received transfers can be
             // spent, so the transfers are closed only right after the store has
             // replied.
-            *cached = Some(self.read_record(&budget.key).await?);
+            *cached = Some(self.open_record(budget).await?);
         }
         let (report, transfers) = {
             let mut state = budget.lock();
+            if self.epoch() > StoreEpoch::default() {
+                state.ledger.set_retention(RETENTION_MS);
+            }
             if has_open_transfers {
                 state.ledger.close_transfers();
             }
@@ -93,7 +135,7 @@
         for _ in 0..MAX_SWAP_ATTEMPTS {
             let (revision, record) = match cached.take() {
                 Some(cached) => cached,
-                None => self.read_record(&budget.key).await?,
+                None => self.open_record(budget).await?,
             };
             let mut next = record;
             let now_ms = Clock::unix_ms();
@@ -102,12 +144,23 @@
             let reply = next.apply(&report, now_ms);
             next.expire();
             self.metrics.store_call("swap");
+            let key = self.record_key(&budget.organisation, revision.epoch);
+            let _write_guard = budget.write_lock.lock().await;
+            let sent_at = Instant::now();
             match self
                 .store
-                .compare_and_swap(&budget.key, revision, &next.encode())
+                .compare_and_swap(&key, revision, &next.encode())
                 .await?
             {
                 CasOutcome::Done(revision) => {
+                    if revision.epoch > StoreEpoch::default() {
+                        let record = next.clone();
+                        *lock(&budget.written) = Some(WrittenRecord {
+                            revision,
+                            record,
+                            sent_at,
+                        });
+                    }
                     *cached = Some((revision, next));
                     for reply in &transfer_replies {
                         budget.lock().ledger.accept_transfer_reply(reply);
@@ -153,17 +206,6 @@
         }
     }
 
-    pub(super) async fn read_record(
-        &self,
-        key: &str,
-    ) -> Result<(Revision, ShardRecord), StoreError> {
-        self.metrics.store_call("get");
-        match self.store.get_for_swap(key).await? {
-            (_, Some(item)) => decode_record(&item),
-            (revision, None) => Ok((revision, ShardRecord::default())),
-        }
-    }
-
     /// Returns unspent tokens to the store. Tokens that could not be returned,
     /// for instance because the store is unreachable, are transferred to other
     /// routers. Call this only when no request is running.
@@ -183,7 +225,7 @@
     }
 }
 
-fn decode_record(item: &Item) -> Result<(Revision, ShardRecord), StoreError> {
+pub(super) fn decode_record(item: &Item) -> Result<(Revision, ShardRecord), StoreError> {
     let record =
         ShardRecord::decode(&item.value).map_err(|err| StoreError::Unreadable(err.to_string()))?;
     Ok((item.revision, record))
--- a/crates/peridotslip-edge/src/budgets/managed_budget.rs
+++ b/crates/peridotslip-edge/src/budgets/managed_budget.rs
@@ -12,19 +12,25 @@
 };
 use tokio::sync::Notify;
 
-use super::{RECOVERABLE_SHORTAGE_VALID_MS, SHORTAGE_VALID_MS};
+use crate::ports::StoreEpoch;
+
+use super::{RECOVERABLE_SHORTAGE_VALID_MS, SHORTAGE_VALID_MS, reconcile::WrittenRecord};
 
 /// One organisation's budget at this router.
 pub(super) struct ManagedBudget {
     pub(super) organisation: OrganisationName,
-    /// The key of the ledger record in the store.
-    pub(super) key: String,
     /// Whether the last exchange with the store failed.
     pub(super) store_unreachable: AtomicBool,
     /// When transfers were last requested from other routers.
     pub(super) transfers_requested_at: tokio::sync::Mutex<Option<Instant>>,
     pub(super) name: BudgetName,
     pub(super) state: Mutex<BudgetState>,
+    /// Held during a write to the store, until its reply has been applied.
+    pub(super) write_lock: tokio::sync::Mutex<()>,
+    /// The record that this router has written last.
+    pub(super) written: Mutex<Option<WrittenRecord>>,
+    /// The epoch whose record this router tries to make, and since when.
+    pub(super) record_wanted: Mutex<Option<(StoreEpoch, Instant)>>,
     /// The routers that record ceilings for this router.
     pub(super) witnesses: Mutex<WitnessSets>,
     /// Serialises the raising of the ceiling.
--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -71,6 +71,8 @@
     },
     /// Looks up where a stream of one of `services` began.
     FindOrigin { id: String, services: Vec<String> },
+    /// Asks what the router holds of an organisation's budget.
+    FetchHolding(OrganisationName),
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -101,6 +103,7 @@
             | Self::Leaving { .. }
             | Self::RecordOrigin { .. }
             | Self::FindOrigin { .. }
+            | Self::FetchHolding(_)
             | Self::Probe => true,
             // Each reply issues a transfer of its own.
             Self::RequestTransfer { .. } => false,
--- a/crates/peridotslip-edge/src/budgets/witness.rs
+++ b/crates/peridotslip-edge/src/budgets/witness.rs
@@ -13,7 +13,10 @@
     BudgetManager, CALL_SLACK_MS, CeilingAck, ManagedBudget, PeerRequest, exchange::CachedRecord,
     lock,
 };
-use crate::{ports::CasOutcome, registry, rpc};
+use crate::{
+    ports::{CasOutcome, StoreEpoch},
+    registry, rpc,
+};
 
 /// The number of witnesses of one budget. One suffices to raise a ceiling; all
 /// are needed to reclaim the grant of a dead router.
@@ -112,6 +115,16 @@
         lock(&budget.witnesses).push(chosen);
     }
 
+    /// Returns whether this router must not use a budget yet, because no witness
+    /// has recorded a ceiling. After a restore of the store, a router without a
+    /// ceiling could not be told from one that had used nothing.
+    pub(super) fn lacks_witnesses(&self, budget: &ManagedBudget) -> bool {
+        self.epoch() > StoreEpoch::default()
+            && self.peers.fleet_size() > 1
+            && lock(&budget.witnesses).newest().is_none()
+            && budget.lock().ledger.is_unused()
+    }
+
     /// Returns the tokens by which a ceiling exceeds the used ones.
     fn ceiling_step(budget: &ManagedBudget) -> u64 {
         let state = budget.lock();
@@ -259,7 +272,7 @@
         if cached.is_none() && attempted.any_is_due(self.clock.now_ms()) {
             // An attempt failed, and there may be nothing to report that would
             // read the record again.
-            match self.read_record(&budget.key).await {
+            match self.open_record(budget).await {
                 Ok(record) => *cached = Some(record),
                 Err(err) => {
                     log::warn!(budget = budget.name.as_str(), reason = err.to_string().as_str(); "can't read the record to reclaim unused tokens; retrying later");
@@ -307,9 +320,10 @@
             return true;
         }
         self.metrics.store_call("swap");
+        let key = self.record_key(&budget.organisation, revision.epoch);
         match self
             .store
-            .compare_and_swap(&budget.key, revision, &next.encode())
+            .compare_and_swap(&key, revision, &next.encode())
             .await
         {
             Ok(CasOutcome::Done(revision)) => {
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -8,20 +8,26 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use peridotslip::{ids::Incarnation, members::rendezvous_weight};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::rpc::{self, Client, RpcRequest};
+use crate::{
+    ports::StoreEpoch,
+    rpc::{self, Client, RpcRequest},
+};
 
 /// The version of the messages between routers in this release. Version 1 adds
-/// the priority of a reservation, version 2 the origins of streams.
-pub(crate) const PROTOCOL: u32 = 2;
+/// the priority of a reservation, version 2 the origins of streams, version 3 what
+/// routers hold of a budget.
+pub(crate) const PROTOCOL: u32 = 3;
+/// How long an ended router is remembered, in milliseconds.
+const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
 const PROBE_PAUSE_MS: u64 = 500;
 /// Longest wait for the response to a probe, in milliseconds.
@@ -45,6 +51,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     instance: RouterInstance,
+    /// The store's epoch when the router started.
+    started_epoch: u64,
     reachable: bool,
     leaving: bool,
 }
@@ -56,6 +64,18 @@
     /// Whether all entries in the store have been read once.
     synced: AtomicBool,
     client: Client,
+    /// How this router found the store when it started.
+    start: OnceLock<StartState>,
+    /// Routers that have ended, and when this router has noticed.
+    ended: Mutex<Vec<(Incarnation, Instant)>>,
+}
+
+/// How a router found the store when it started.
+#[derive(Clone, Copy, Debug)]
+struct StartState {
+    epoch: u64,
+    /// Whether the store had no entry of the VM.
+    first_on_vm: bool,
 }
 
 impl Peers {
@@ -65,9 +85,68 @@
             others: Mutex::default(),
             synced: AtomicBool::new(false),
             client: Client::default(),
+            start: OnceLock::new(),
+            ended: Mutex::default(),
         })
     }
 
+    /// Records the store's epoch at this router's start, and whether the store had
+    /// no entry of the VM. Later calls have no effect. Returns the epoch.
+    pub(crate) fn record_start(&self, epoch: u64, first_on_vm: bool) -> u64 {
+        let start = self.start.get_or_init(|| StartState { epoch, first_on_vm });
+        start.epoch
+    }
+
+    /// Returns the store's epoch at this router's start; `None` before the router
+    /// has registered.
+    pub(crate) fn started_epoch(&self) -> Option<u64> {
+        self.start.get().map(|start| start.epoch)
+    }
+
+    /// Returns whether this router was the first on its VM.
+    pub(crate) fn is_first_on_vm(&self) -> bool {
+        self.start.get().is_some_and(|start| start.first_on_vm)
+    }
+
+    /// Returns whether another router may have run in an epoch before `epoch`.
+    pub(crate) fn any_started_before(&self, epoch: StoreEpoch) -> bool {
+        let peers = self.lock();
+        peers.values().any(|peer| peer.started_epoch < epoch.0)
+    }
+
+    /// Returns the other routers.
+    pub(crate) fn others(&self) -> Vec<RouterInstance> {
+        let peers = self.lock();
+        peers.values().map(|peer| peer.instance.clone()).collect()
+    }
+
+    /// Returns the routers that have ended lately, each with the time since this
+    /// router has noticed, in milliseconds.
+    pub(crate) fn ended(&self) -> Vec<(Incarnation, u64)> {
+        let ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        let as_ms = |at: &Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        ended
+            .iter()
+            .map(|(incarnation, at)| (*incarnation, as_ms(at)))
+            .collect()
+    }
+
+    /// Returns the VMs of the other routers and their incarnations.
+    pub(crate) fn vms(&self) -> Vec<(String, Incarnation)> {
+        let peers = self.lock();
+        let instances = peers.values().map(|peer| &peer.instance);
+        instances
+            .map(|instance| (instance.vm.clone(), instance.incarnation))
+            .collect()
+    }
+
+    /// Records that a router has ended.
+    pub(crate) fn record_end(&self, incarnation: Incarnation) {
+        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        ended.retain(|(_, at)| at.elapsed() < Duration::from_millis(ENDED_RETENTION_MS));
+        ended.push((incarnation, Instant::now()));
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Peer>> {
         self.others.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -89,17 +168,23 @@
 
     /// Adds or replaces the entry of another router. Ignores this router's own
     /// entry.
-    pub(crate) fn insert(&self, instance: RouterInstance) {
+    pub(crate) fn insert(&self, instance: RouterInstance, started_epoch: u64) {
         if instance.vm == self.local.vm {
             return;
         }
         let mut peers = self.lock();
-        if peers.get(&instance.vm).map(|peer| &peer.instance) == Some(&instance) {
-            return;
+        if let Some(known) = peers.get(&instance.vm) {
+            if known.instance == instance {
+                return;
+            }
+            if known.instance.incarnation != instance.incarnation {
+                self.record_end(known.instance.incarnation);
+            }
         }
         log::info!(peer = instance.vm.as_str(), address = instance.address.as_str(); "peer added");
         let peer = Peer {
             instance: instance.clone(),
+            started_epoch,
             reachable: true,
             leaving: false,
         };
@@ -113,7 +198,8 @@
 
     /// Removes the entry of a VM's router.
     pub(crate) fn remove(&self, vm: &str) {
-        if self.lock().remove(vm).is_some() {
+        if let Some(peer) = self.lock().remove(vm) {
+            self.record_end(peer.instance.incarnation);
             log::info!(peer = vm; "peer removed");
         }
     }
--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     metrics::Metrics,
-    peers::RouterInstance,
+    peers::{Peers, RouterInstance},
     ports::{CasOutcome, Item, MetadataStore, StoreResult},
 };
 
@@ -23,9 +23,12 @@
 const MAX_BACKOFF_MS: u64 = 800;
 
 /// The stored form of an entry.
-#[derive(Serialize, Deserialize)]
-struct Entry {
-    member: RouterInstance,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    pub(crate) member: RouterInstance,
+    /// The store's epoch when the router started.
+    #[serde(default)]
+    pub(crate) started_epoch: u64,
 }
 
 fn key(vm: &str) -> String {
@@ -33,16 +36,15 @@
 }
 
 /// Decodes an entry. Returns `None` if it is invalid.
-pub(crate) fn decode(item: &Item) -> Option<RouterInstance> {
-    let entry: Entry = serde_json::from_slice(&item.value).ok()?;
-    Some(entry.member)
+pub(crate) fn decode(item: &Item) -> Option<Entry> {
+    serde_json::from_slice(&item.value).ok()
 }
 
 /// Reads the entry of a VM from the store. Returns `None` if there is no valid
 /// entry or the store is unavailable.
 pub(crate) async fn read(store: &dyn MetadataStore, vm: &str) -> Option<RouterInstance> {
     match store.get(&key(vm)).await {
-        Ok(item) => item.as_ref().and_then(decode),
+        Ok(item) => item.as_ref().and_then(decode).map(|entry| entry.member),
         Err(err) => {
             log::warn!(vm, reason = err.to_string().as_str(); "can't read a router's entry");
             None
@@ -52,11 +54,11 @@
 
 /// Writes this router's entry. Retries until the write succeeds or a read finds
 /// the entry in the store.
-pub(crate) async fn register(store: &dyn MetadataStore, local: &RouterInstance, metrics: &Metrics) {
+pub(crate) async fn register(store: &dyn MetadataStore, peers: &Peers, metrics: &Metrics) {
     let mut backoff_ms = FIRST_BACKOFF_MS;
     loop {
         metrics.store_call("register");
-        match register_once(store, local).await {
+        match register_once(store, peers).await {
             Ok(true) => return,
             Ok(false) => {}
             Err(err) => {
@@ -70,15 +72,23 @@
 
 /// Reads this router's entry and writes it if it differs. Returns whether the
 /// store holds the entry; `false` means that another write came first.
-async fn register_once(store: &dyn MetadataStore, local: &RouterInstance) -> StoreResult<bool> {
+async fn register_once(store: &dyn MetadataStore, peers: &Peers) -> StoreResult<bool> {
+    let local = peers.local();
     let key = key(&local.vm);
     let (revision, found) = store.get_for_swap(&key).await?;
-    if found.as_ref().and_then(decode).as_ref() == Some(local) {
-        return Ok(true);
+    let found_entry = found.as_ref().and_then(decode);
+    if let Some(earlier) = found_entry.as_ref().map(|entry| entry.member.incarnation)
+        && earlier != local.incarnation
+    {
+        peers.record_end(earlier);
     }
     let entry = Entry {
         member: local.clone(),
+        started_epoch: peers.record_start(revision.epoch.0, found.is_none()),
     };
+    if found_entry.as_ref() == Some(&entry) {
+        return Ok(true);
+    }
     let value = serde_json::to_vec(&entry)
         .map_err(|err| crate::ports::StoreError::Unreadable(err.to_string()))?;
     Ok(matches!(
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -18,7 +18,8 @@
 
 use crate::{
     budgets::{
-        BudgetManager, CeilingAck, LEAST_URGENT, PeerRequest, ReservationRequest, ReserveReply,
+        BudgetManager, CeilingAck, HoldingReply, LEAST_URGENT, PeerRequest, ReservationRequest,
+        ReserveReply,
     },
     clock::Clock,
     context::SharedState,
@@ -175,6 +176,7 @@
     Ceiling(Option<u64>),
     CeilingAck(CeilingAck),
     Origin(OriginReply),
+    Holding(Box<HoldingReply>),
     Done(bool),
 }
 
@@ -251,6 +253,10 @@
         PeerRequest::FindOrigin { id, services } => {
             PeerResponse::Origin(shared.origins.find(&id, &services))
         }
+        PeerRequest::FetchHolding(organisation) => {
+            let reply = shared.budgets.holding_reply(&organisation).await;
+            PeerResponse::Holding(Box::new(reply))
+        }
         PeerRequest::Probe => PeerResponse::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -458,7 +458,7 @@
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => match registry::decode(&item) {
-                Some(instance) => self.0.peers.insert(instance),
+                Some(entry) => self.0.peers.insert(entry.member, entry.started_epoch),
                 None => {
                     log::warn!(key = item.key.as_str(); "invalid entry of a router; ignoring it");
                 }
@@ -496,8 +496,9 @@
     let mut epoch = store.epoch();
     loop {
         epoch.mark_unchanged();
-        registry::register(store.as_ref(), shared.peers.local(), &shared.metrics).await;
+        registry::register(store.as_ref(), &shared.peers, &shared.metrics).await;
         shared.budgets.set_registered();
+        shared.budgets.restore_first_epoch().await;
         let registered_in = *epoch.borrow();
         // The first reply names the epoch of the registration itself.
         let later = |epoch: &StoreEpoch| *epoch > registered_in;
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -21,12 +21,14 @@
 mod account;
 mod ceiling;
 mod local_ledger;
+mod reconcile;
 mod record;
 mod report;
 
 pub use self::account::{Account, Grant};
 pub use self::ceiling::{WitnessSets, WitnessedCeilings};
 pub use self::local_ledger::{LocalLedger, RefillPolicy, ReplySummary, Reservation, ReserveResult};
+pub use self::reconcile::{EndedBound, Holding};
 pub use self::record::{GrantHolder, KeyEntry, KeyState, ShardRecord};
 pub use self::report::{
     Bill, BudgetReport, Claim, ClaimStatus, GrantReply, GrantTransfer, Outcome, Report,
--- a/crates/peridotslip/src/ledger/ceiling.rs
+++ b/crates/peridotslip/src/ledger/ceiling.rs
@@ -34,6 +34,16 @@
         true
     }
 
+    /// Returns the ceilings of a budget, by holder.
+    #[must_use]
+    pub fn of_budget(&self, budget: &BudgetName) -> Vec<(Incarnation, u64)> {
+        self.recorded
+            .iter()
+            .filter(|((_, recorded), _)| recorded == budget)
+            .map(|((holder, _), ceiling)| (*holder, *ceiling))
+            .collect()
+    }
+
     /// Seals the ceiling of `holder` and returns it, or 0 if none is recorded.
     /// A sealed ceiling is never raised again.
     pub fn seal(&mut self, holder: Incarnation, budget: &BudgetName) -> u64 {
--- a/crates/peridotslip/src/ledger/local_ledger.rs
+++ b/crates/peridotslip/src/ledger/local_ledger.rs
@@ -7,7 +7,7 @@
 pub use self::local_account::RefillPolicy;
 use self::local_account::{LocalAccount, ReceivedTransfer};
 use super::{
-    Bill, BudgetReport, Claim, ClaimStatus, GrantTransfer, Outcome, Report, ReportReply,
+    Bill, BudgetReport, Claim, ClaimStatus, GrantTransfer, Holding, Outcome, Report, ReportReply,
     Settlement, SettlementStatus,
 };
 use crate::ids::{BudgetName, IdempotencyKey, Incarnation};
@@ -76,6 +76,14 @@
     claims: BTreeMap<(IdempotencyKey, u64), Claim>,
     /// The last sequence number of a settlement or an issued transfer.
     last_seq: u64,
+    /// How long confirmed settlements are retained, in milliseconds; 0 if the
+    /// records never forget them.
+    retention_ms: u64,
+    /// The time of the last report, in milliseconds.
+    reported_at_ms: u64,
+    /// Confirmed settlements, each with the incarnation in whose name it was
+    /// reported and the time of its confirmation, in milliseconds.
+    confirmed: Vec<(u64, Incarnation, Settlement)>,
     /// Whether the next reports close the incarnation.
     closing: bool,
     /// Whether a reply has confirmed the closing.
@@ -98,6 +106,9 @@
             seen_transfers: HashSet::new(),
             claims: BTreeMap::new(),
             last_seq: 0,
+            retention_ms: 0,
+            reported_at_ms: 0,
+            confirmed: Vec::new(),
             closing: false,
             closed: false,
         }
@@ -257,7 +268,62 @@
     /// [`transfer_reports`](Self::transfer_reports).
     pub fn accept_transfer_reply(&mut self, reply: &ReportReply) {
         for (seq, _) in &reply.settled {
-            self.transfer_outbox.remove(&(reply.incarnation, *seq));
+            let settlement = self.transfer_outbox.remove(&(reply.incarnation, *seq));
+            self.retain(reply.incarnation, settlement);
+        }
+    }
+
+    /// Sets how long confirmed settlements are retained, in milliseconds, because
+    /// a restored store may have forgotten them.
+    pub fn set_retention(&mut self, retention_ms: u64) {
+        self.retention_ms = retention_ms;
+    }
+
+    fn retain(&mut self, reporter: Incarnation, settlement: Option<Settlement>) {
+        if self.retention_ms > 0
+            && let Some(settlement) = settlement
+        {
+            let entry = (self.reported_at_ms, reporter, settlement);
+            self.confirmed.push(entry);
+        }
+    }
+
+    /// Returns what this local ledger holds of `budget`, for the record of a new
+    /// epoch. `witnesses` are those that the ledger has set last.
+    #[must_use]
+    pub fn holding(&self, budget: &BudgetName, witnesses: Vec<Incarnation>) -> Holding {
+        let account = self.accounts.get(budget);
+        let of = |amount: fn(&LocalAccount) -> u64| account.map_or(0, amount);
+        let mut own = Vec::new();
+        let mut transfers: BTreeMap<Incarnation, Report> = BTreeMap::new();
+        for (_, reporter, settlement) in &self.confirmed {
+            if settlement.budget != *budget {
+                continue;
+            }
+            if *reporter == self.incarnation {
+                own.push(settlement.clone());
+                continue;
+            }
+            let report = transfers.entry(*reporter).or_insert_with(|| Report {
+                incarnation: *reporter,
+                ..Report::default()
+            });
+            report.settlements.push(settlement.clone());
+        }
+        Holding {
+            incarnation: self.incarnation,
+            address: self.address.clone(),
+            paid: of(|account| account.paid),
+            granted: of(|account| account.granted),
+            returned: of(|account| account.returned),
+            witness_set_version: if witnesses.is_empty() {
+                0
+            } else {
+                self.witness_set_version
+            },
+            witnesses,
+            settlements: own,
+            transfers: transfers.into_values().collect(),
         }
     }
 
@@ -450,6 +516,9 @@
     /// Builds the next report to the record. The report also returns excess
     /// tokens.
     pub fn report(&mut self, now_ms: u64) -> Report {
+        self.reported_at_ms = now_ms;
+        let oldest_ms = now_ms.saturating_sub(self.retention_ms);
+        self.confirmed.retain(|(at_ms, ..)| *at_ms >= oldest_ms);
         let mut budgets = Vec::new();
         for (budget, account) in &mut self.accounts {
             account.decay_rate(now_ms);
@@ -488,12 +557,14 @@
             account.recorded_paid = account.recorded_paid.max(grant.paid);
             account.recorded_returned = account.recorded_returned.max(grant.returned);
         }
-        let settled = reply
-            .settled
-            .iter()
-            .filter(|(seq, _)| self.outbox.remove(seq).is_some())
-            .copied()
-            .collect();
+        let mut settled = Vec::new();
+        for (seq, status) in &reply.settled {
+            let settlement = self.outbox.remove(seq);
+            if settlement.is_some() {
+                settled.push((*seq, *status));
+            }
+            self.retain(self.incarnation, settlement);
+        }
         let claims = reply
             .claims
             .iter()
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -306,6 +306,31 @@
         before - grant.outstanding()
     }
 
+    /// Returns the total tokens granted to an incarnation.
+    pub(super) fn granted(&self, budget: &BudgetName, incarnation: Incarnation) -> u64 {
+        let account = self.accounts.get(budget);
+        let grant = account.and_then(|account| account.grants.get(&incarnation));
+        grant.map_or(0, |grant| grant.granted)
+    }
+
+    /// Raises the total tokens granted to an incarnation, because it holds a
+    /// grant that the store has forgotten. Returns by how much.
+    pub(super) fn restore_grant(
+        &mut self,
+        budget: &BudgetName,
+        incarnation: Incarnation,
+        granted: u64,
+    ) -> u64 {
+        let before = self.granted(budget, incarnation);
+        if granted <= before {
+            return 0;
+        }
+        self.incarnations.entry(incarnation).or_default();
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.grants.entry(incarnation).or_default().granted = granted;
+        granted - before
+    }
+
     /// Returns whether two records are equal, their clocks aside.
     #[must_use]
     pub fn same_content(&self, other: &Self) -> bool {
