Pause between listings of a store whose answers change their epoch

Cause: read in the diff: a call that fails because of another epoch was repeated at once, without a bound if answers of two epochs alternate.

Change: the pause after a failed call.

--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -189,7 +189,10 @@
                 log::warn!(feed = watcher.name(); "store has compacted its history; listing all keys");
                 revision = None;
             }
-            Err(StoreError::Restored) => revision = None,
+            Err(StoreError::Restored) => {
+                revision = None;
+                tokio::time::sleep(Duration::from_millis(FIRST_BACKOFF_MS)).await;
+            }
             Err(err) => {
                 shared.metrics.store_failed();
                 shared.store_availability.record_failure(started);
