Let retry limits follow the settings and the size of the fleet

Cause: the limits were set at a service's first use. Ruled out: the share itself, which is computed from the fleet's size.

Change: RetryBudget::set_limits, called at each use; a lower limit lowers the balance.

Result: retry_limits_follow_a_change could not be built before and passes; the other tests of the file pass.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -142,10 +142,12 @@
             .unwrap_or_else(PoisonError::into_inner);
         let settings = self.settings().retries.clone();
         #[allow(clippy::cast_precision_loss)]
-        let allowance = || settings.allowance * ALLOWANCE_SHARE / self.peers.fleet_size() as f64;
+        let allowance = settings.allowance * ALLOWANCE_SHARE / self.peers.fleet_size() as f64;
+        let ratio = settings.ratio * RATIO_SHARE;
         let budget = retry_budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(settings.ratio * RATIO_SHARE, allowance()));
+            .or_insert_with(|| RetryBudget::new(ratio, allowance));
+        budget.set_limits(ratio, allowance);
         f(budget)
     }
 }
--- a/crates/peridotslip/src/forwarding/retry_budget.rs
+++ b/crates/peridotslip/src/forwarding/retry_budget.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Changes the limits.
+    pub fn set_limits(&mut self, ratio: f64, allowance: f64) {
+        self.ratio = ratio;
+        self.allowance = allowance;
+        self.balance = self.balance.min(self.max_balance());
+    }
+
     /// Records the first attempt of a request.
     pub fn deposit(&mut self) {
         self.balance = (self.balance + self.ratio).min(self.max_balance());
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -421,6 +421,22 @@
 
 /// Sessions of long prompts whose beginning is cached: each first byte must take
 /// back exactly what the choice had added.
+/// Guards against limits that stay as they were at a service's first use: the
+/// settings and the size of the fleet change.
+#[test]
+fn retry_limits_follow_a_change() {
+    let mut budget = RetryBudget::new(0.0, 40.0);
+    assert!(budget.withdraw(0));
+
+    budget.set_limits(0.0, 4.0);
+    let allowed = (0..100).filter(|_| budget.withdraw(0)).count();
+    budget.set_limits(0.0, 20.0);
+    let refilled = (0..100).filter(|_| budget.withdraw(10_000)).count();
+
+    assert!(allowed <= 8, "{allowed}");
+    assert_eq!(refilled, 20);
+}
+
 #[test]
 fn first_byte_of_a_cached_prompt_leaves_other_prompts_pending() {
     let mut placement = engines(2);
