Tell unreachable servers from full ones

Cause: servers-full was the reason of every request that no server had run. Ruled out: the log lines of the attempts, which name the reason.

Change: servers-unreachable if no attempt opened a connection; 503 and Retry-After as before.

Result: unreachable_servers_are_not_reported_as_full failed before (servers-full) and passes.

--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -40,6 +40,9 @@
     Late,
 }
 
+/// No connection to the server could be opened.
+const UNREACHABLE: AttemptError = AttemptError::NotRun("unreachable");
+
 /// The attempts made for one request.
 #[derive(Clone, Debug, Default)]
 struct RetryState {
@@ -49,6 +52,8 @@
     versions: Option<Vec<ServerVersion>>,
     /// Whether the request goes on with a stream of a version.
     resumes: bool,
+    /// Whether any server could be reached.
+    reached: bool,
     /// Number of attempts in which the server may have run the request.
     possible_executions: u32,
     /// Whether the first send has been counted in the retry budget.
@@ -73,6 +78,7 @@
         };
         log::info!(id = cx.id(), server = server.as_str(), reason, failed:? = error; "attempt failed");
         self.tried.push(server);
+        self.reached |= *error != UNREACHABLE;
         match error {
             AttemptError::NotRun(_) => true,
             AttemptError::MayHaveRun(_) | AttemptError::Late => {
@@ -113,6 +119,9 @@
             (0, false) if self.tried.is_empty() => {
                 Rejection::after(RejectionReason::NoServer, after_ms)
             }
+            (0, false) if !self.reached => {
+                Rejection::after(RejectionReason::ServersUnreachable, after_ms)
+            }
             (0, false) => Rejection::after(RejectionReason::ServersFull, after_ms),
             (_, true) => Rejection::new(RejectionReason::TimedOut),
             (_, false) => Rejection::new(RejectionReason::ServerBroke),
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body as _, Incoming};
 use peridotslip::forwarding::{AttemptOutcome, Selection, ServerEntry, ServerId, ServerVersion};
 
-use super::{AttemptError, RetryState};
+use super::{AttemptError, RetryState, UNREACHABLE};
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
@@ -170,7 +170,7 @@
             }
             Err(AcquireError::Unreachable) => {
                 in_flight.end(AttemptOutcome::Failed);
-                return Err(AttemptError::NotRun("unreachable"));
+                return Err(UNREACHABLE);
             }
         };
         // Opening a connection takes time, in which the server may have left.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -29,6 +29,8 @@
     VersionGone,
     /// No server to which an attempt was made ran the request.
     ServersFull,
+    /// None of the servers to which attempts were made could be reached.
+    ServersUnreachable,
     /// A server may have run the request, and no complete response was
     /// received.
     ServerBroke,
@@ -53,6 +55,7 @@
             Self::OriginUnknown => "origin-unknown",
             Self::VersionGone => "version-gone",
             Self::ServersFull => "servers-full",
+            Self::ServersUnreachable => "servers-unreachable",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
             Self::NotStarted => "not-started",
@@ -74,6 +77,7 @@
             | Self::OriginUnknown
             | Self::VersionGone
             | Self::ServersFull
+            | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerBroke => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
