Count a broken error response of a stream as the server's failure

Cause: a failed read of an error response on a stream's route left the attempt's outcome neutral. Ruled out: whole responses, which already count.

Change: the attempt is aborted, which counts as a failure.

Result: server_that_breaks_off_error_responses_is_avoided: 12 of 12 requests reached the server before, at most 4 now; the file passes.

--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -228,15 +228,17 @@
 ) -> Result<StreamStart, (String, AttemptError)> {
     let server = from_server.server.clone();
     let body = Limited::new(&mut from_server.body, MAX_ERROR_BYTES).collect();
-    match tokio::time::timeout(limit, body).await {
+    let error = match tokio::time::timeout(limit, body).await {
         Ok(Ok(body)) => {
             let response = head(&from_server).map(|()| body.to_bytes());
             from_server.complete();
-            Ok(StreamStart::Failure(response))
+            return Ok(StreamStart::Failure(response));
         }
-        Ok(Err(err)) => Err((server, AttemptError::MayHaveRun(err.to_string()))),
-        Err(_) => Err((server, AttemptError::Late)),
-    }
+        Ok(Err(err)) => AttemptError::MayHaveRun(err.to_string()),
+        Err(_) => AttemptError::Late,
+    };
+    from_server.abort();
+    Err((server, error))
 }
 
 /// Returns the time limit for the next attempt's first event: the remaining
