Split the store watches, the epochs of records and the server versions

Change: store_watch/servers.rs, budgets/epochs.rs, server_versions.rs, open_and_exchange; names (opened_epoch, record_missing, EarlierRecord). One change of behaviour: a record read while the epoch changed is not used, as a missing one already was not.

Result: cargo test -p peridotslip-platform: all pass.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -8,6 +8,7 @@
 //! of its own, and the record keeps the sum of the grants within the paid
 //! amount.
 
+mod epochs;
 mod exchange;
 mod lending;
 mod managed_budget;
@@ -359,7 +360,7 @@
             }),
             write_lock: tokio::sync::Mutex::default(),
             written: Mutex::default(),
-            record_wanted: Mutex::default(),
+            record_missing: Mutex::default(),
             refill: Notify::new(),
             refilled: Notify::new(),
         });
--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -38,8 +38,7 @@
         let mut attempted = ReclaimAttempts::default();
         let mut backoff_ms = FIRST_BACKOFF_MS;
         let mut epoch = self.store.epoch();
-        // The epoch of the last record that was read.
-        let mut opened_in: Option<StoreEpoch> = None;
+        let mut opened_epoch: Option<StoreEpoch> = None;
         self.registered.wait().await;
         loop {
             let interval = Duration::from_millis(self.settings.settle_ms);
@@ -56,30 +55,12 @@
                 budget.refill.notify_one();
                 continue;
             }
-            let now_in = self.epoch();
-            if cached
-                .as_ref()
-                .is_some_and(|(revision, _)| revision.epoch != now_in)
-            {
-                cached = None;
+            let outcome = self
+                .open_and_exchange(&budget, &mut cached, opened_epoch)
+                .await;
+            if let Some((revision, _)) = &cached {
+                opened_epoch = Some(revision.epoch);
             }
-            let restored = opened_in.is_some_and(|before| before < now_in);
-            let opened = if restored && self.is_owner(&budget.organisation) {
-                self.open_record(&budget).await.map(Some)
-            } else {
-                Ok(cached.take())
-            };
-            let outcome = match opened {
-                Ok(record) => {
-                    cached = record;
-                    self.exchange(&budget, &mut cached).await
-                }
-                Err(err) => Err(err),
-            };
-            opened_in = cached
-                .as_ref()
-                .map(|(revision, _)| revision.epoch)
-                .or(opened_in);
             match outcome {
                 Ok(contacted) => {
                     if contacted {
@@ -104,6 +85,29 @@
         }
     }
 
+    /// Like [`exchange`](Self::exchange), and first makes or reads the record of a
+    /// new epoch if this router is the budget's owner. `opened_epoch` is the epoch
+    /// of the last record that was read.
+    async fn open_and_exchange(
+        &self,
+        budget: &ManagedBudget,
+        cached: &mut CachedRecord,
+        opened_epoch: Option<StoreEpoch>,
+    ) -> Result<bool, StoreError> {
+        let epoch = self.epoch();
+        if cached
+            .as_ref()
+            .is_some_and(|(revision, _)| revision.epoch != epoch)
+        {
+            *cached = None;
+        }
+        let restored = opened_epoch.is_some_and(|opened| opened < epoch);
+        if restored && self.is_owner(&budget.organisation) {
+            *cached = Some(self.open_record(budget).await?);
+        }
+        self.exchange(budget, cached).await
+    }
+
     /// Sends a report to the record and applies the reply. Returns whether the
     /// store was contacted.
     async fn exchange(
--- a/crates/peridotslip-edge/src/budgets/managed_budget.rs
+++ b/crates/peridotslip-edge/src/budgets/managed_budget.rs
@@ -12,9 +12,8 @@
 };
 use tokio::sync::Notify;
 
-use crate::ports::StoreEpoch;
-
 use super::{RECOVERABLE_SHORTAGE_VALID_MS, SHORTAGE_VALID_MS, reconcile::WrittenRecord};
+use crate::ports::StoreEpoch;
 
 /// One organisation's budget at this router.
 pub(super) struct ManagedBudget {
@@ -30,7 +29,7 @@
     /// The record that this router has written last.
     pub(super) written: Mutex<Option<WrittenRecord>>,
     /// The epoch whose record this router tries to make, and since when.
-    pub(super) record_wanted: Mutex<Option<(StoreEpoch, Instant)>>,
+    pub(super) record_missing: Mutex<Option<(StoreEpoch, Instant)>>,
     /// The routers that record ceilings for this router.
     pub(super) witnesses: Mutex<WitnessSets>,
     /// Serialises the raising of the ceiling.
--- a/crates/peridotslip-edge/src/budgets/reconcile.rs
+++ b/crates/peridotslip-edge/src/budgets/reconcile.rs
@@ -1,12 +1,8 @@
-//! The records of an epoch of the store, which are made anew after the store was
-//! restored from an older copy.
+//! Making the record of a budget after the store was restored from an older copy.
 //!
-//! The first epoch, which a key in the store names, has records of its own keys;
-//! each later one has further records, so that writes of an earlier epoch can't
-//! change what a later one decides by. The owner of a budget makes the record
-//! once every router that may have been granted tokens has reported what it
-//! holds, or has certainly ended. Until then nothing is granted, and routers spend
-//! what they hold.
+//! The owner of the budget makes the record once every router that may have been
+//! granted tokens has reported what it holds, or has certainly ended. Until then
+//! nothing is granted, and routers spend what they hold.
 
 use std::time::{Duration, Instant};
 
@@ -17,20 +13,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 
-use super::{BudgetManager, ManagedBudget, PeerRequest, exchange::decode_record, lock};
+use super::{
+    BudgetManager, ManagedBudget, PeerRequest, epochs::EarlierRecord, exchange::decode_record, lock,
+};
 use crate::{
     clock::Clock,
-    ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError, StoreResult},
+    ports::{CasOutcome, Revision, StoreEpoch, StoreError, StoreResult},
 };
 
-/// Prefix of the keys of records of the first epoch. The organisation's name
-/// follows.
-const FIRST_PREFIX: &str = "peridotslip/ledger/";
-/// Prefix of the keys of records of later epochs. The organisation's name and the
-/// epoch follow.
-const LATER_PREFIX: &str = "peridotslip/ledgers/";
-/// The key that holds the number of the first epoch.
-const FIRST_EPOCH_KEY: &str = "peridotslip/first-epoch";
 /// The first version of the messages between routers that has the messages about
 /// holdings.
 const MIN_PROTOCOL: u32 = 3;
@@ -47,11 +37,6 @@
 /// milliseconds. The router may still spend what it holds, so all free tokens are
 /// charged to it then.
 const SILENT_ROUTER_MS: u64 = 5_000;
-/// Pause after the first failed call to the store, in milliseconds; doubled after
-/// each further one.
-const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest pause after a failed call to the store, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 800;
 /// Largest difference between the times of two routers' replies, in
 /// milliseconds.
 const REPLY_SPREAD_MS: u64 = HOLDING_TIMEOUT_MS;
@@ -105,7 +90,7 @@
 impl ManagedBudget {
     /// Returns since when this router has tried to make the record of an epoch.
     fn waiting_since(&self, epoch: StoreEpoch) -> Instant {
-        let mut waiting = lock(&self.record_wanted);
+        let mut waiting = lock(&self.record_missing);
         match *waiting {
             Some((wanted, since)) if wanted == epoch => since,
             _ => {
@@ -117,103 +102,7 @@
     }
 }
 
-fn first_record_key(organisation: &OrganisationName) -> String {
-    format!("{FIRST_PREFIX}{organisation}")
-}
-
-fn decode_epoch(item: &Item) -> StoreResult<StoreEpoch> {
-    let text = std::str::from_utf8(&item.value).ok();
-    let epoch = text.and_then(|text| text.parse().ok()).map(StoreEpoch);
-    epoch.ok_or_else(|| StoreError::Unreadable("invalid number of the first epoch".to_owned()))
-}
-
-/// A record of an earlier epoch that a new one is made from.
-struct BaseRecord {
-    epoch: u64,
-    revision: u64,
-    record: ShardRecord,
-    /// Time since the write was sent, in milliseconds; `None` if it is unknown.
-    age_ms: Option<u64>,
-}
-
 impl BudgetManager {
-    /// Returns the store's epoch; 0 if the store names none.
-    pub(super) fn epoch(&self) -> StoreEpoch {
-        *self.store.epoch().borrow()
-    }
-
-    /// Returns the key of a budget's record in an epoch.
-    pub(super) fn record_key(&self, organisation: &OrganisationName, epoch: StoreEpoch) -> String {
-        let first_epoch = self.first_epoch.get().copied().unwrap_or_default();
-        if epoch == first_epoch {
-            return first_record_key(organisation);
-        }
-        // Fixed width, so that the keys are in the order of the epochs.
-        format!("{LATER_PREFIX}{organisation}/{:020}", epoch.0)
-    }
-
-    /// Reads the number of the first epoch, or writes it if this is the first
-    /// epoch.
-    async fn read_first_epoch(&self) -> StoreResult<StoreEpoch> {
-        if let Some(first_epoch) = self.first_epoch.get() {
-            return Ok(*first_epoch);
-        }
-        if self.epoch() == StoreEpoch::default() {
-            return Ok(StoreEpoch::default());
-        }
-        self.metrics.store_call("get");
-        let (revision, found) = self.store.get_for_swap(FIRST_EPOCH_KEY).await?;
-        let first_epoch = match found {
-            Some(item) => decode_epoch(&item)?,
-            // Routers that know the number write it again after a restore.
-            None if self.peers.any_started_before(revision.epoch) => {
-                let reason = "the number of the first epoch is not known yet";
-                return Err(StoreError::Unavailable(reason.to_owned()));
-            }
-            None => self.write_first_epoch(revision, revision.epoch).await?,
-        };
-        Ok(*self.first_epoch.get_or_init(|| first_epoch))
-    }
-
-    async fn write_first_epoch(
-        &self,
-        revision: Revision,
-        first_epoch: StoreEpoch,
-    ) -> StoreResult<StoreEpoch> {
-        self.metrics.store_call("swap");
-        let value = first_epoch.0.to_string();
-        let written = self
-            .store
-            .compare_and_swap(FIRST_EPOCH_KEY, revision, value.as_bytes());
-        match written.await? {
-            CasOutcome::Done(_) => Ok(first_epoch),
-            CasOutcome::Conflict(Some(item)) => decode_epoch(&item),
-            CasOutcome::Conflict(None) => Err(StoreError::Restored),
-        }
-    }
-
-    /// Writes the number of the first epoch again if a restore has removed it.
-    pub(crate) async fn restore_first_epoch(&self) {
-        let Some(first_epoch) = self.first_epoch.get() else {
-            return;
-        };
-        let mut pause = Duration::from_millis(FIRST_BACKOFF_MS);
-        loop {
-            self.metrics.store_call("get");
-            let restored = match self.store.get_for_swap(FIRST_EPOCH_KEY).await {
-                Ok((_, Some(_))) => return,
-                Ok((revision, None)) => self.write_first_epoch(revision, *first_epoch).await,
-                Err(err) => Err(err),
-            };
-            let Err(err) = restored else {
-                return;
-            };
-            log::warn!(reason = err.to_string().as_str(); "can't write the number of the first epoch again; retrying");
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(Duration::from_millis(MAX_BACKOFF_MS));
-        }
-    }
-
     /// Reads the record of the current epoch. If there is none, the owner of the
     /// budget makes it.
     ///
@@ -230,13 +119,12 @@
         let epoch = self.epoch();
         let key = self.record_key(&budget.organisation, epoch);
         let (revision, found) = self.store.get_for_swap(&key).await?;
-        if let Some(item) = found {
-            return decode_record(&item);
-        }
-        // The first reply of the store names its epoch.
         if revision.epoch != epoch {
             return Err(StoreError::Restored);
         }
+        if let Some(item) = found {
+            return decode_record(&item);
+        }
         if epoch == first_epoch {
             return Ok((revision, ShardRecord::default()));
         }
@@ -303,39 +191,6 @@
         Ok(record)
     }
 
-    /// Returns the newest record of an earlier epoch in the store.
-    async fn newest_stored_record(
-        &self,
-        budget: &ManagedBudget,
-        epoch: StoreEpoch,
-    ) -> StoreResult<Option<BaseRecord>> {
-        self.metrics.store_call("list");
-        let prefix = format!("{LATER_PREFIX}{}/", budget.organisation);
-        let listing = self.store.list(&prefix).await?;
-        let newest = listing.items.iter().rev().find_map(|item| {
-            let written_in = item.key.strip_prefix(&prefix)?.parse().ok()?;
-            (written_in < epoch.0).then_some((written_in, item.clone()))
-        });
-        let (written_in, item) = if let Some(newest) = newest {
-            newest
-        } else {
-            self.metrics.store_call("get");
-            let first_key = first_record_key(&budget.organisation);
-            let Some(item) = self.store.get(&first_key).await? else {
-                return Ok(None);
-            };
-            let first_epoch = self.first_epoch.get().copied().unwrap_or_default();
-            (first_epoch.0, item)
-        };
-        let (revision, record) = decode_record(&item)?;
-        Ok(Some(BaseRecord {
-            epoch: written_in,
-            revision: revision.number,
-            record,
-            age_ms: None,
-        }))
-    }
-
     /// Asks all routers what they hold.
     async fn gather_holdings(
         &self,
@@ -397,9 +252,9 @@
     }
 }
 
-fn reported_record(reply: &HoldingReply) -> Option<BaseRecord> {
+fn reported_record(reply: &HoldingReply) -> Option<EarlierRecord> {
     let written = reply.written.as_ref()?;
-    Some(BaseRecord {
+    Some(EarlierRecord {
         epoch: written.epoch,
         revision: written.revision,
         record: ShardRecord::decode(&written.record).ok()?,
@@ -470,7 +325,11 @@
     }
 
     /// Returns what bounds the use of the routers that have not reported.
-    fn bounds(&self, base: Option<&BaseRecord>, all_known: bool) -> Vec<(Incarnation, EndedBound)> {
+    fn bounds(
+        &self,
+        base: Option<&EarlierRecord>,
+        all_known: bool,
+    ) -> Vec<(Incarnation, EndedBound)> {
         let base_age_ms = base.and_then(|base| base.age_ms);
         // All others run, so no ceiling of the only router has been lost.
         let only_one = all_known && self.ended.len() == 1 && self.silent.is_empty();
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod registry;
 mod rpc;
 mod run;
+mod server_versions;
 pub mod settings;
 mod store_availability;
 mod store_watch;
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -28,9 +28,9 @@
     metrics::Metrics,
     peers::{PROTOCOL, Peers, RouterInstance},
     ports::Platform,
-    rpc,
+    rpc, server_versions,
     settings::Settings,
-    store_watch, stream_origins,
+    store_watch,
 };
 
 /// Why the router could not start.
@@ -125,7 +125,7 @@
             "router started"
         );
         store_watch::spawn(&shared);
-        tokio::spawn(stream_origins::register_versions(shared.clone()));
+        tokio::spawn(server_versions::register_versions(shared.clone()));
         tokio::spawn(rpc::serve(peer_listener, {
             let shared = shared.clone();
             move |request| handle_peer_request(shared.clone(), request)
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -1,17 +1,16 @@
 //! Watches of the store: the routing table, the servers and the routers.
 
+mod servers;
+
 use std::{
-    collections::HashSet,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use peridotslip::{
-    forwarding::{RoutingIndex, ServerEntry, ServerId},
-    ids::OrganisationName,
-};
+use peridotslip::{forwarding::RoutingIndex, ids::OrganisationName};
 use tokio::sync::watch;
 
+use self::servers::ServersWatcher;
 use crate::{
     context::SharedState,
     ports::{
@@ -24,40 +23,20 @@
 /// How long a watch of rarely changing keys waits for a change, in
 /// milliseconds.
 const LONG_WATCH_MS: u64 = 10_000;
-/// How long a watch of the servers waits for a change, in milliseconds. Servers'
-/// entries change all the time, so a watch without a response soon shows that
-/// the store is unavailable.
-const SERVERS_WATCH_MS: u64 = 1_000;
 /// How long a watch waits for a change after a failed one, in milliseconds. A
 /// call that was sent while the store was unavailable may get no response even
 /// after the store has recovered, so the watch must end soon.
 const PROBE_WATCH_MS: u64 = 200;
-/// Pause between two watches of the servers, whose entries change all the
-/// time, in milliseconds. The router must learn within the platform's drain
-/// time of 2 s that a server is leaving.
-const SERVERS_PAUSE_MS: u64 = 900;
 /// Pause between two watches of the routing table or the routers, in
 /// milliseconds, so that a burst of changes is read in one response.
 const CHANGES_PAUSE_MS: u64 = 100;
 /// Pause after the first failed call, in milliseconds; doubled after each
 /// further one.
 const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest time from one call of the servers' watch to the next in an outage, in
-/// milliseconds. Bounds how precisely the store's return is known, and thereby
-/// the time for which a server may be without an entry. Not less than a probe
-/// without a response takes.
-const SERVERS_PROBE_INTERVAL_MS: u64 = 800;
-/// Longest time from one call of another watch to the next in an outage, in
-/// milliseconds. The servers' watch wakes the others when the store is back.
+/// Longest time from one call to the next in an outage, in milliseconds. The
+/// servers' watch, which calls more often, wakes the others when the store is
+/// back.
 const PROBE_INTERVAL_MS: u64 = 3_200;
-/// How long after the last call that an outage made fail a server may be without
-/// an entry before it counts as gone, in milliseconds. A live server registers
-/// again within 2 s of the store's return, which follows that call; 3 s after the
-/// return, no request may reach a server that left during the outage.
-const REREGISTER_GRACE_MS: u64 = 2_850;
-/// Outages longer than this may make the store lose servers' entries, in
-/// milliseconds.
-const LONG_OUTAGE_MS: u64 = 1_500;
 
 /// Applies the changes of the keys under one prefix of the store.
 trait PrefixWatcher: Send {
@@ -230,10 +209,7 @@
     tokio::spawn(list_and_watch(shared.clone(), TableWatcher(shared.clone())));
     tokio::spawn(list_and_watch(
         shared.clone(),
-        ServersWatcher {
-            shared: shared.clone(),
-            restored_revision: None,
-        },
+        ServersWatcher::new(shared.clone()),
     ));
     tokio::spawn(list_and_watch(
         shared.clone(),
@@ -315,129 +291,6 @@
     fn on_batch_end(&mut self) {}
 }
 
-/// Applies changes of the backend servers' entries.
-struct ServersWatcher {
-    shared: Arc<SharedState>,
-    /// The revision of the first listing after the store was restored. Older
-    /// entries may be of servers that had been removed before.
-    restored_revision: Option<Revision>,
-}
-
-impl ServersWatcher {
-    fn decode(&self, item: &Item) -> Option<ServerEntry> {
-        let dialect = &self.shared.platform.dialect;
-        dialect.decode_server(&item.key, &item.value)
-    }
-
-    /// Applies a server's entry.
-    fn apply(&self, server: ServerEntry, revision: Revision) {
-        let id = server.id.clone();
-        let (address, state, version) =
-            (server.address.clone(), server.state, server.version.clone());
-        if self.shared.placement().upsert(server) {
-            self.shared.origins.servers_changed();
-            log::info!(server = id.as_str(), address = address.as_str(), state:? = state, version = version.as_str(), revision = revision.number; "server entry changed");
-        }
-    }
-
-    /// Removes the servers that have been without an entry for too long.
-    fn remove_gone(&self) {
-        let gone = self
-            .shared
-            .placement()
-            .remove_gone(self.shared.clock.now_ms());
-        for id in gone {
-            log::info!(server = id.as_str(), reason = "entry missing"; "server removed");
-        }
-    }
-}
-
-impl PrefixWatcher for ServersWatcher {
-    fn name(&self) -> &'static str {
-        "servers"
-    }
-
-    fn prefix(&self) -> &str {
-        self.shared.platform.dialect.servers_prefix()
-    }
-
-    fn watch_timeout(&self) -> Duration {
-        Duration::from_millis(SERVERS_WATCH_MS)
-    }
-
-    fn pause(&self) -> Duration {
-        Duration::from_millis(SERVERS_PAUSE_MS)
-    }
-
-    fn probe_interval(&self) -> Duration {
-        Duration::from_millis(SERVERS_PROBE_INTERVAL_MS)
-    }
-
-    fn on_event(&mut self, event: WatchEvent) {
-        match event {
-            WatchEvent::Put(item) => {
-                if let Some(server) = self.decode(&item) {
-                    self.apply(server, item.revision);
-                }
-            }
-            WatchEvent::Removed(key) => {
-                if let Some(id) = key.strip_prefix(self.prefix())
-                    && self.shared.placement().remove(id)
-                {
-                    log::info!(server = id, reason = "entry removed"; "server removed");
-                }
-            }
-        }
-    }
-
-    fn on_list(&mut self, listing: Listing, cause: ListCause) {
-        self.remove_gone();
-        if cause.restored_after.is_some() {
-            self.restored_revision = Some(listing.revision);
-        }
-        let mut listed = HashSet::new();
-        for item in &listing.items {
-            let Some(server) = self.decode(item) else {
-                continue;
-            };
-            let id = server.id.clone();
-            let may_be_restored = self
-                .restored_revision
-                .is_some_and(|restored| item.revision <= restored);
-            if may_be_restored && self.shared.placement().was_removed(&server) {
-                log::info!(server = id.as_str(), revision = item.revision.number; "restored entry of a removed server; waiting until the server writes it");
-                continue;
-            }
-            self.apply(server, item.revision);
-            listed.insert(id);
-        }
-        let long_outage = cause
-            .outage
-            .filter(|outage| outage.began.elapsed() > Duration::from_millis(LONG_OUTAGE_MS));
-        // The store returned, or was restored, after this time.
-        let before_return = long_outage
-            .map(|outage| outage.last_failure)
-            .or(cause.restored_after);
-        let grace = before_return.map_or(Duration::ZERO, |at| {
-            Duration::from_millis(REREGISTER_GRACE_MS).saturating_sub(at.elapsed())
-        });
-        let grace_ms = as_ms(grace);
-        let gone_at_ms = self.shared.clock.now_ms() + grace_ms;
-        let missing = self.shared.placement().expire_unlisted(&listed, gone_at_ms);
-        if missing > 0 {
-            log::info!(missing, grace_ms; "servers without an entry; removed unless they register again");
-        }
-    }
-
-    fn on_batch_end(&mut self) {
-        self.remove_gone();
-        let placement = self.shared.placement();
-        let known: HashSet<ServerId> = placement.ids().map(ToOwned::to_owned).collect();
-        drop(placement);
-        self.shared.upstream.evict_idle(|id| known.contains(id));
-    }
-}
-
 /// Applies changes of the other routers' entries.
 struct RoutersWatcher(Arc<SharedState>);
 
--- a/crates/peridotslip-edge/src/stream_origins.rs
+++ b/crates/peridotslip-edge/src/stream_origins.rs
@@ -1,30 +1,26 @@
-//! Carries out what [`StreamOrigins`] decides: registers the versions of
-//! servers in the store, records streams at their witnesses, and finds out where
-//! a stream began that a caller resumes at this router.
+//! Carries out what [`StreamOrigins`] decides: records streams at their witnesses,
+//! and finds out where a stream began that a caller resumes at this router.
 
 use std::{
-    collections::BTreeSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use peridotslip::forwarding::{
-    MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, RoutingRule,
-    ServerVersion, StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
+    MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, ServerVersion,
+    StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
 };
-use tokio::{sync::Notify, task::JoinSet, time::Instant};
+use tokio::{sync::Notify, task::JoinSet};
 
 use crate::{
     budgets::PeerRequest,
     clock::Clock,
-    context::{RequestContext, SharedState},
+    context::RequestContext,
     peers::{Peers, RouterInstance},
-    ports::{CasOutcome, Item, Revision, StoreError, StoreResult},
     rpc,
+    server_versions::read_only_version,
 };
 
-/// Prefix of the keys of version histories. The service's name follows.
-const PREFIX: &str = "peridotslip/versions/";
 /// The first version of the messages between routers that has the messages
 /// about origins.
 const MIN_PROTOCOL: u32 = 2;
@@ -35,15 +31,6 @@
 /// Pause between two attempts to record a stream at its witnesses while its
 /// events are already forwarded, in milliseconds.
 const RECORD_RETRY_MS: u64 = 500;
-/// How long after a restore of the store an earlier write may take effect, in
-/// milliseconds.
-const LATE_WRITE_MS: u64 = 10_000;
-/// Pause after the first failed call to the store, in milliseconds; doubled after
-/// each further one.
-const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest pause after a failed call to the store, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 800;
-
 /// How a router knows where a resumed stream began. The labels are for logs and
 /// metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,156 +85,41 @@
         self.lock().versions(service).to_vec()
     }
 
-    /// Records a stream as a witness. Returns whether it is recorded.
-    pub(crate) fn record(&self, id: &str, origin: StreamOrigin, keep_ms: u64) -> bool {
-        let now_ms = self.clock.now_ms();
-        let expires_ms = now_ms + keep_ms.min(MAX_STREAM_MS);
-        self.lock().record(id, origin, expires_ms, now_ms)
-    }
-
-    /// Looks up a stream as a witness.
-    pub(crate) fn find(&self, id: &str, services: &[String]) -> OriginReply {
-        self.lock().find(id, services, self.clock.now_ms())
+    pub(crate) async fn wait_for_servers_changed(&self) {
+        self.servers_changed.notified().await;
     }
-}
 
-/// Registers the versions of servers in the store until the process ends.
-pub(crate) async fn register_versions(shared: Arc<SharedState>) {
-    let mut epoch = shared.platform.store.epoch();
-    let mut check_again_at: Option<Instant> = None;
-    loop {
-        while let Some((service, versions)) = unregistered(&shared) {
-            register_with_retries(&shared, &service, &versions).await;
-        }
-        let check_again = async {
-            match check_again_at {
-                Some(at) => tokio::time::sleep_until(at).await,
-                None => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            () = shared.origins.servers_changed.notified() => {}
-            Ok(()) = epoch.changed() => {
-                register_known_versions(&shared).await;
-                // A write that was sent before the restore may still replace a
-                // history.
-                check_again_at = Some(Instant::now() + Duration::from_millis(LATE_WRITE_MS));
-            }
-            () = check_again => {
-                register_known_versions(&shared).await;
-                check_again_at = None;
-            }
-        }
+    /// Returns the services with known versions.
+    pub(crate) fn services(&self) -> Vec<String> {
+        self.lock().services().map(ToOwned::to_owned).collect()
     }
-}
 
-/// Adds all known versions to the histories in the store, from which a restore
-/// may have removed them.
-async fn register_known_versions(shared: &SharedState) {
-    let services: Vec<String> = {
-        let origins = shared.origins.lock();
-        origins.services().map(ToOwned::to_owned).collect()
-    };
-    for service in services {
-        let versions = shared.origins.versions(&service);
-        register_with_retries(shared, &service, &versions).await;
+    /// Applies a service's versions in the store; see
+    /// [`StreamOrigins::set_history`].
+    pub(crate) fn set_history(
+        &self,
+        service: &str,
+        stored: &VersionHistory,
+        history: VersionHistory,
+    ) {
+        self.lock().set_history(service, stored, history);
     }
-}
 
-async fn register_with_retries(shared: &SharedState, service: &str, versions: &[ServerVersion]) {
-    let mut backoff_ms = FIRST_BACKOFF_MS;
-    while let Err(err) = register(shared, service, versions).await {
-        log::warn!(service, reason = err.to_string().as_str(); "can't register server versions; new ones get no streams until a retry succeeds");
-        tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-        backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+    /// Returns whether streams of a service must be recorded at witnesses.
+    pub(crate) fn must_record(&self, service: &str) -> bool {
+        self.lock().must_record(service)
     }
-}
 
-/// Returns a service with resumable streams that has servers of unregistered
-/// versions, and these versions.
-fn unregistered(shared: &SharedState) -> Option<(String, Vec<ServerVersion>)> {
-    let index = shared.index();
-    let routes = index.table().routes.iter().filter(|route| resumable(route));
-    let services: BTreeSet<&str> = routes
-        .flat_map(|route| &route.weighted_services)
-        .map(|(service, _)| service.as_str())
-        .collect();
-    services.into_iter().find_map(|service| {
-        let registered = shared.origins.versions(service);
-        let placement = shared.placement();
-        let versions = placement.versions(service).into_iter();
-        let missing: Vec<ServerVersion> = versions
-            .filter(|version| !registered.iter().any(|known| known == version))
-            .map(ToOwned::to_owned)
-            .collect();
-        (!missing.is_empty()).then(|| (service.to_owned(), missing))
-    })
-}
-
-fn resumable(route: &RoutingRule) -> bool {
-    route.streaming && route.resumable
-}
-
-/// Adds versions to a service's history in the store, and applies the history.
-async fn register(
-    shared: &SharedState,
-    service: &str,
-    versions: &[ServerVersion],
-) -> StoreResult<()> {
-    let store = &shared.platform.store;
-    let key = format!("{PREFIX}{service}");
-    shared.metrics.store_call("versions");
-    let (mut revision, mut item) = store.get_for_swap(&key).await?;
-    loop {
-        let stored = decode(item.as_ref())?;
-        let mut history = stored.clone();
-        let added = versions
-            .iter()
-            .filter(|version| history.add(version))
-            .count();
-        if added > 0 {
-            let value = serde_json::to_vec(&history)
-                .map_err(|err| StoreError::Unreadable(err.to_string()))?;
-            shared.metrics.store_call("versions");
-            if let CasOutcome::Conflict(current) =
-                store.compare_and_swap(&key, revision, &value).await?
-            {
-                revision = current
-                    .as_ref()
-                    .map_or(Revision::absent(revision.epoch), |item| item.revision);
-                item = current;
-                continue;
-            }
-        }
-        log::info!(service, versions:? = history.versions(); "server versions registered");
-        shared.origins.lock().set_history(service, &stored, history);
-        return Ok(());
+    /// Records a stream as a witness. Returns whether it is recorded.
+    pub(crate) fn record(&self, id: &str, origin: StreamOrigin, keep_ms: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        let expires_ms = now_ms + keep_ms.min(MAX_STREAM_MS);
+        self.lock().record(id, origin, expires_ms, now_ms)
     }
-}
-
-fn decode(item: Option<&Item>) -> StoreResult<VersionHistory> {
-    let Some(item) = item else {
-        return Ok(VersionHistory::default());
-    };
-    serde_json::from_slice(&item.value).map_err(|err| StoreError::Unreadable(err.to_string()))
-}
 
-/// Reads the only version that has ever served a service. Returns `None` if there
-/// are several or the store is unavailable.
-async fn read_only_version(shared: &SharedState, service: &str) -> Option<ServerVersion> {
-    let several = shared.origins.lock().must_record(service);
-    if several || !shared.store_availability.is_available() {
-        return None;
-    }
-    shared.metrics.store_call("versions");
-    let store = &shared.platform.store;
-    let item = store.get(&format!("{PREFIX}{service}")).await;
-    match item.and_then(|item| decode(item.as_ref())) {
-        Ok(history) => history.only().cloned(),
-        Err(err) => {
-            log::warn!(service, reason = err.to_string().as_str(); "can't read the server versions of a service");
-            None
-        }
+    /// Looks up a stream as a witness.
+    pub(crate) fn find(&self, id: &str, services: &[String]) -> OriginReply {
+        self.lock().find(id, services, self.clock.now_ms())
     }
 }
 
@@ -264,7 +136,7 @@
     let keep_ms = deadline_ms.saturating_add(RECORD_MARGIN_MS);
     let id = cx.id().to_owned();
     shared.origins.record(&id, origin.clone(), keep_ms);
-    if !shared.origins.lock().must_record(&cx.service) {
+    if !shared.origins.must_record(&cx.service) {
         return;
     }
     let record = PeerRequest::RecordOrigin {
