Register again in an epoch that begins during a registration

Cause: read in the diff: the epoch of a registration was taken after it, so a restore in between was missed and the router stayed without an entry.

Change: the registration returns the epoch in which the store held the entry; wording of comments.

The moment itself has no test.

--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -11,7 +11,7 @@
 use crate::{
     metrics::Metrics,
     peers::{Peers, RouterInstance},
-    ports::{CasOutcome, Item, MetadataStore, StoreResult},
+    ports::{CasOutcome, Item, MetadataStore, StoreEpoch, StoreResult},
 };
 
 /// Prefix of the keys of routers' entries. The VM's name follows.
@@ -53,14 +53,18 @@
 }
 
 /// Writes this router's entry. Retries until the write succeeds or a read finds
-/// the entry in the store.
-pub(crate) async fn register(store: &dyn MetadataStore, peers: &Peers, metrics: &Metrics) {
+/// the entry in the store. Returns the store's epoch then.
+pub(crate) async fn register(
+    store: &dyn MetadataStore,
+    peers: &Peers,
+    metrics: &Metrics,
+) -> StoreEpoch {
     let mut backoff_ms = FIRST_BACKOFF_MS;
     loop {
         metrics.store_call("register");
         match register_once(store, peers).await {
-            Ok(true) => return,
-            Ok(false) => {}
+            Ok(Some(epoch)) => return epoch,
+            Ok(None) => {}
             Err(err) => {
                 log::warn!(reason = err.to_string().as_str(); "can't register this router; retrying");
                 tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
@@ -70,9 +74,12 @@
     }
 }
 
-/// Reads this router's entry and writes it if it differs. Returns whether the
-/// store holds the entry; `false` means that another write came first.
-async fn register_once(store: &dyn MetadataStore, peers: &Peers) -> StoreResult<bool> {
+/// Reads this router's entry and writes it if it differs. Returns the epoch in
+/// which the store holds the entry; `None` means that another write came first.
+async fn register_once(
+    store: &dyn MetadataStore,
+    peers: &Peers,
+) -> StoreResult<Option<StoreEpoch>> {
     let local = peers.local();
     let key = key(&local.vm);
     let (revision, found) = store.get_for_swap(&key).await?;
@@ -87,12 +94,12 @@
         started_epoch: peers.record_start(revision.epoch.0, found.is_none()),
     };
     if found_entry.as_ref() == Some(&entry) {
-        return Ok(true);
+        return Ok(Some(revision.epoch));
     }
     let value = serde_json::to_vec(&entry)
         .map_err(|err| crate::ports::StoreError::Unreadable(err.to_string()))?;
-    Ok(matches!(
-        store.compare_and_swap(&key, revision, &value).await?,
-        CasOutcome::Done(_)
-    ))
+    match store.compare_and_swap(&key, revision, &value).await? {
+        CasOutcome::Done(revision) => Ok(Some(revision.epoch)),
+        CasOutcome::Conflict(_) => Ok(None),
+    }
 }
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -351,12 +351,10 @@
     let store = shared.platform.store.clone();
     let mut epoch = store.epoch();
     loop {
-        epoch.mark_unchanged();
-        registry::register(store.as_ref(), &shared.peers, &shared.metrics).await;
+        let registered_in =
+            registry::register(store.as_ref(), &shared.peers, &shared.metrics).await;
         shared.budgets.set_registered();
         shared.budgets.restore_first_epoch().await;
-        let registered_in = *epoch.borrow();
-        // The first reply names the epoch of the registration itself.
         let later = |epoch: &StoreEpoch| *epoch > registered_in;
         if epoch.wait_for(later).await.is_err() {
             return;
--- a/crates/peridotslip-edge/src/stream_origins.rs
+++ b/crates/peridotslip-edge/src/stream_origins.rs
@@ -31,8 +31,8 @@
 /// Pause between two attempts to record a stream at its witnesses while its
 /// events are already forwarded, in milliseconds.
 const RECORD_RETRY_MS: u64 = 500;
-/// How a router knows where a resumed stream began. The labels are for logs and
-/// metrics.
+
+/// How a router knows where a resumed stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
     /// This router or a witness has a record.
@@ -44,6 +44,7 @@
 }
 
 impl Evidence {
+    /// Returns the label in logs.
     fn as_str(self) -> &'static str {
         match self {
             Self::Record => "record",
@@ -85,6 +86,7 @@
         self.lock().versions(service).to_vec()
     }
 
+    /// Waits until servers or routes have changed.
     pub(crate) async fn wait_for_servers_changed(&self) {
         self.servers_changed.notified().await;
     }
@@ -245,6 +247,7 @@
     Some(origin)
 }
 
+/// Asks the witnesses of the stream `id`, of which this router may be one.
 async fn ask_witnesses(
     cx: &RequestContext,
     id: &str,
