Let the table's watch lead the probing of the store

Change: the table's watch calls every 0.8 s in an outage, the others every 1.6 s as before; a reply does not cancel calls, it ends pauses; a failure of a call that was sent before the last reply counts for nothing. Servers without an entry count as gone 2.05 s after the first reply, or, if that came late, 2.85 s after the last failed call.

--- a/crates/peridotslip-edge/src/store_availability.rs
+++ b/crates/peridotslip-edge/src/store_availability.rs
@@ -12,6 +12,10 @@
     available: bool,
     /// When the last call that failed was sent.
     last_failure: Option<Instant>,
+    /// When the last reply arrived.
+    last_success: Option<Instant>,
+    /// When the first reply after the last outage arrived.
+    regained_at: Option<Instant>,
 }
 
 /// An outage that one watch has noticed.
@@ -22,6 +26,8 @@
     /// When the last call of any watch that failed was sent. The store returned
     /// after that.
     pub(crate) last_failure: Instant,
+    /// When the first reply to any watch arrived. The store returned before that.
+    pub(crate) regained_at: Instant,
 }
 
 /// The availability of the store.
@@ -36,6 +42,8 @@
             observed: watch::Sender::new(Observed {
                 available: true,
                 last_failure: None,
+                last_success: None,
+                regained_at: None,
             }),
         }
     }
@@ -50,25 +58,37 @@
         self.observed.send_if_modified(|observed| {
             let regained = !observed.available;
             observed.available = true;
+            let now = Instant::now();
+            observed.last_success = Some(now);
+            if regained {
+                observed.regained_at = Some(now);
+            }
             regained
         });
     }
 
-    /// Records that a call that was sent at `sent_at` has failed.
-    pub(crate) fn record_failure(&self, sent_at: Instant) {
+    /// Records that a call that was sent at `sent_at` has failed. Returns whether
+    /// the store has replied to another call since, so that the failure proves
+    /// nothing about the present.
+    pub(crate) fn record_failure(&self, sent_at: Instant) -> bool {
+        let mut replied_since = false;
         self.observed.send_if_modified(|observed| {
-            let lost = observed.available;
-            observed.available = false;
+            replied_since = observed.last_success > Some(sent_at);
+            let lost = observed.available && !replied_since;
+            observed.available &= replied_since;
             observed.last_failure = observed.last_failure.max(Some(sent_at));
             lost
         });
+        replied_since
     }
 
     /// Returns the outage that a watch noticed at `began`.
     pub(crate) fn outage_since(&self, began: Instant) -> Outage {
+        let observed = self.observed.borrow();
         Outage {
             began,
-            last_failure: self.observed.borrow().last_failure.unwrap_or(began),
+            last_failure: observed.last_failure.unwrap_or(began),
+            regained_at: observed.regained_at.unwrap_or_else(Instant::now),
         }
     }
 
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -33,10 +33,15 @@
 /// Pause after the first failed call, in milliseconds; doubled after each
 /// further one.
 const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest time from one call to the next in an outage, in milliseconds. The
-/// servers' watch, which calls more often, wakes the others when the store is
-/// back.
-const PROBE_INTERVAL_MS: u64 = 3_200;
+/// Longest time from one call of the table's watch to the next in an outage, in
+/// milliseconds. Its replies are the smallest, so that it leads: its first reply
+/// wakes the others. Bounds how precisely the store's return is known, and
+/// thereby the time for which a server may be without an entry. Not less than a
+/// probe without a response takes.
+const TABLE_PROBE_INTERVAL_MS: u64 = 800;
+/// Longest time from one call of another watch to the next in an outage, in
+/// milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_600;
 
 /// Applies the changes of the keys under one prefix of the store.
 trait PrefixWatcher: Send {
@@ -115,10 +120,9 @@
         let started = Instant::now();
         let outcome = tokio::select! {
             outcome = read_store(&shared, &watcher, revision, probing) => outcome,
-            // Another watch has lost the store, or has regained it while this
-            // one has not: this call may never get a response, so a new one
-            // replaces it.
-            () = availability.changed_to(probing) => continue,
+            // Another watch has lost the store: this call may never get a
+            // response, so a short one replaces it.
+            () = availability.changed_to(false), if !probing => continue,
             // A watch from a revision of an earlier epoch misses changes.
             () = epoch_changed(&mut epoch, revision) => {
                 log::warn!(feed = watcher.name(), epoch = epoch.borrow().0; "store was restored from an older copy; listing all keys");
@@ -174,16 +178,18 @@
             }
             Err(err) => {
                 shared.metrics.store_failed();
-                shared.store_availability.record_failure(started);
+                let replied_since = shared.store_availability.record_failure(started);
                 if lost_at.is_none() {
                     lost_at = Some(Instant::now());
                     log::warn!(feed = watcher.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
                 }
                 let interval_rest = watcher.probe_interval().saturating_sub(started.elapsed());
                 let pause = Duration::from_millis(backoff_ms).min(interval_rest);
-                tokio::select! {
-                    () = tokio::time::sleep(pause) => {}
-                    () = availability.changed_to(true) => {}
+                if !replied_since {
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => {}
+                        () = availability.changed_to(true) => {}
+                    }
                 }
                 backoff_ms = backoff_ms.saturating_mul(2);
             }
@@ -272,6 +278,10 @@
         Duration::from_millis(CHANGES_PAUSE_MS)
     }
 
+    fn probe_interval(&self) -> Duration {
+        Duration::from_millis(TABLE_PROBE_INTERVAL_MS)
+    }
+
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => self.apply(&item),
--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -1,6 +1,10 @@
 //! The watch of the backend servers' entries.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use peridotslip::forwarding::{ServerEntry, ServerId};
 
@@ -8,6 +12,7 @@
 use crate::{
     context::SharedState,
     ports::{Item, Listing, Revision, WatchEvent},
+    store_availability::Outage,
 };
 
 /// How long a watch of the servers waits for a change, in milliseconds. Servers'
@@ -18,16 +23,17 @@
 /// time, in milliseconds. The router must learn within the platform's drain
 /// time of 2 s that a server is leaving.
 const PAUSE_MS: u64 = 900;
-/// Longest time from one call of the servers' watch to the next in an outage, in
-/// milliseconds. Bounds how precisely the store's return is known, and thereby
-/// the time for which a server may be without an entry. Not less than a probe
-/// without a response takes.
-const PROBE_INTERVAL_MS: u64 = 800;
-/// How long after the last call that an outage made fail a server may be without
-/// an entry before it counts as gone, in milliseconds. A live server registers
-/// again within 2 s of the store's return, which follows that call; 3 s after the
-/// return, no request may reach a server that left during the outage.
-const REREGISTER_GRACE_MS: u64 = 2_850;
+/// How long after the store's return a server may be without an entry before it
+/// counts as gone, in milliseconds. A live server registers again within 2 s.
+const REREGISTER_MS: u64 = 2_050;
+/// Longest time from the last call that an outage made fail to the first reply
+/// after it for which that reply shows the store's return, in milliseconds: two
+/// probes of the watch that leads.
+const RETURN_SHOWN_MS: u64 = 1_700;
+/// How long after the last call that failed a server may be without an entry if the
+/// store's return is not known better, in milliseconds. 3 s after the return, no
+/// request may reach a server that left during the outage.
+const UNKNOWN_RETURN_MS: u64 = 2_850;
 /// Outages longer than this may make the store lose servers' entries, in
 /// milliseconds.
 const LONG_OUTAGE_MS: u64 = 1_500;
@@ -76,6 +82,18 @@
     }
 }
 
+/// Returns from when on a server without an entry after an outage counts as gone.
+fn gone_after(outage: &Outage) -> Instant {
+    let uncertainty = outage
+        .regained_at
+        .saturating_duration_since(outage.last_failure);
+    if uncertainty <= Duration::from_millis(RETURN_SHOWN_MS) {
+        outage.regained_at + Duration::from_millis(REREGISTER_MS)
+    } else {
+        outage.last_failure + Duration::from_millis(UNKNOWN_RETURN_MS)
+    }
+}
+
 impl PrefixWatcher for ServersWatcher {
     fn name(&self) -> &'static str {
         "servers"
@@ -93,10 +111,6 @@
         Duration::from_millis(PAUSE_MS)
     }
 
-    fn probe_interval(&self) -> Duration {
-        Duration::from_millis(PROBE_INTERVAL_MS)
-    }
-
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => {
@@ -138,13 +152,12 @@
         let long_outage = cause
             .outage
             .filter(|outage| outage.began.elapsed() > Duration::from_millis(LONG_OUTAGE_MS));
-        // The store returned, or was restored, after this time.
-        let before_return = long_outage
-            .map(|outage| outage.last_failure)
-            .or(cause.restored_after);
-        let grace = before_return.map_or(Duration::ZERO, |at| {
-            Duration::from_millis(REREGISTER_GRACE_MS).saturating_sub(at.elapsed())
-        });
+        let gone_at = match (long_outage, cause.restored_after) {
+            (Some(outage), _) => gone_after(&outage),
+            (None, Some(last_reply)) => last_reply + Duration::from_millis(UNKNOWN_RETURN_MS),
+            (None, None) => Instant::now(),
+        };
+        let grace = gone_at.saturating_duration_since(Instant::now());
         let grace_ms = as_ms(grace);
         let gone_at_ms = self.shared.clock.now_ms() + grace_ms;
         let missing = self.shared.placement().expire_unlisted(&listed, gone_at_ms);
