Give probes of the table time for a congested link

Cause: from a trial with extra log lines: the table's probes failed at 0.8 s one after the other, and the first that succeeded took 1.08 s.

Change: the table's probes may take 1.6 s; the servers' watch leads again with 0.8 s, which the time of missing servers rests on; the routers' watch calls every 3.2 s.

--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -33,15 +33,16 @@
 /// Pause after the first failed call, in milliseconds; doubled after each
 /// further one.
 const FIRST_BACKOFF_MS: u64 = 100;
+/// How long a watch of the table waits for a change after a failed one, in
+/// milliseconds. Longer than other probes, so that the reply also arrives over a
+/// congested link. A change is replied to at once.
+const TABLE_PROBE_WATCH_MS: u64 = 1_000;
 /// Longest time from one call of the table's watch to the next in an outage, in
-/// milliseconds. Its replies are the smallest, so that it leads: its first reply
-/// wakes the others. Bounds how precisely the store's return is known, and
-/// thereby the time for which a server may be without an entry. Not less than a
-/// probe without a response takes.
-const TABLE_PROBE_INTERVAL_MS: u64 = 800;
-/// Longest time from one call of another watch to the next in an outage, in
-/// milliseconds.
-const PROBE_INTERVAL_MS: u64 = 1_600;
+/// milliseconds: the time that a probe without a response takes.
+const TABLE_PROBE_INTERVAL_MS: u64 = 1_600;
+/// Longest time from one call to the next in an outage, in milliseconds. The first
+/// reply to any watch ends the pauses of all.
+const PROBE_INTERVAL_MS: u64 = 3_200;
 
 /// Applies the changes of the keys under one prefix of the store.
 trait PrefixWatcher: Send {
@@ -53,6 +54,10 @@
     fn watch_timeout(&self) -> Duration;
     /// Returns the pause between two watches.
     fn pause(&self) -> Duration;
+    /// Returns how long a watch waits for changes after a failed one.
+    fn probe_timeout(&self) -> Duration {
+        Duration::from_millis(PROBE_WATCH_MS)
+    }
     /// Returns the longest time from one call to the next in an outage.
     fn probe_interval(&self) -> Duration {
         Duration::from_millis(PROBE_INTERVAL_MS)
@@ -97,7 +102,7 @@
     };
     shared.metrics.store_call("watch");
     let wait = if probing {
-        Duration::from_millis(PROBE_WATCH_MS)
+        watcher.probe_timeout()
     } else {
         watcher.watch_timeout()
     };
@@ -278,6 +283,10 @@
         Duration::from_millis(CHANGES_PAUSE_MS)
     }
 
+    fn probe_timeout(&self) -> Duration {
+        Duration::from_millis(TABLE_PROBE_WATCH_MS)
+    }
+
     fn probe_interval(&self) -> Duration {
         Duration::from_millis(TABLE_PROBE_INTERVAL_MS)
     }
--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -23,12 +23,17 @@
 /// time, in milliseconds. The router must learn within the platform's drain
 /// time of 2 s that a server is leaving.
 const PAUSE_MS: u64 = 900;
+/// Longest time from one call of this watch to the next in an outage, in
+/// milliseconds. Bounds how precisely the store's return is known, and thereby
+/// the time for which a server may be without an entry. Not less than a probe
+/// without a response takes.
+const PROBE_INTERVAL_MS: u64 = 800;
 /// How long after the store's return a server may be without an entry before it
 /// counts as gone, in milliseconds. A live server registers again within 2 s.
 const REREGISTER_MS: u64 = 2_050;
 /// Longest time from the last call that an outage made fail to the first reply
 /// after it for which that reply shows the store's return, in milliseconds: two
-/// probes of the watch that leads.
+/// probes.
 const RETURN_SHOWN_MS: u64 = 1_700;
 /// How long after the last call that failed a server may be without an entry if the
 /// store's return is not known better, in milliseconds. 3 s after the return, no
@@ -111,6 +116,10 @@
         Duration::from_millis(PAUSE_MS)
     }
 
+    fn probe_interval(&self) -> Duration {
+        Duration::from_millis(PROBE_INTERVAL_MS)
+    }
+
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => {
