Cancel a resumption when its caller leaves

Cause: relay_stream awaited a resumption without watching the caller, so that an engine worked on for a caller that had left. Ruled out: cancelling alone.

Change: the wait for a resumption ends when the caller leaves. The usage of a reservation only rises, whichever attempt it comes from.

--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -1,6 +1,12 @@
 //! Settling reservations at this router or at the owner.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use peridotslip::{ids::OrganisationName, ledger::Reservation};
 
@@ -98,18 +104,19 @@
     pub(super) manager: Arc<BudgetManager>,
     /// Where the tokens are reserved; `None` once there is nothing to settle.
     pub(super) site: Option<ReservationSite>,
-    pub(super) used: u64,
+    pub(super) used: AtomicU64,
 }
 
 impl ReservationGuard {
-    /// Sets the total number of tokens used.
-    pub(crate) fn set_used(&mut self, tokens: u64) {
-        self.used = tokens;
+    /// Raises the total number of tokens used to `tokens`. What has been used
+    /// stays used, whichever attempt of the request used it.
+    pub(crate) fn raise_used(&self, tokens: u64) {
+        self.used.fetch_max(tokens, Ordering::Relaxed);
     }
 
     /// Returns the total number of tokens used.
     pub(crate) fn used(&self) -> u64 {
-        self.used
+        self.used.load(Ordering::Relaxed)
     }
 
     /// Drops the guard without settling, because the owner made no reservation.
@@ -120,18 +127,19 @@
 
 impl Drop for ReservationGuard {
     fn drop(&mut self) {
+        let used = self.used();
         match self.site.take() {
             None => {}
             Some(ReservationSite::Local(organisation, reservation)) => {
                 self.manager
-                    .settle_locally(&organisation, reservation, self.used);
+                    .settle_locally(&organisation, reservation, used);
             }
             Some(ReservationSite::Remote(owner, reservation_id)) => {
                 let mut outbox = lock(&self.manager.outbox);
                 let batch = outbox
                     .entry(owner.vm.clone())
                     .or_insert_with(|| (owner, Vec::new()));
-                batch.1.push((reservation_id, self.used));
+                batch.1.push((reservation_id, used));
                 drop(outbox);
                 self.manager.settlement_queued.notify_one();
             }
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -101,7 +101,7 @@
     if resumable {
         permit_versions(&mut cx, &mut retry).await?;
     }
-    let started = start(&mut cx, &mut retry, last_event_id).await;
+    let started = start(&cx, &mut retry, last_event_id).await;
     match started {
         None => Err(retry.rejection(&cx)),
         Some(StreamStart::Failure(response)) => Ok(response.map(full)),
@@ -165,7 +165,7 @@
 /// Sends the request to one server after another until one has sent its first
 /// event.
 async fn start(
-    cx: &mut RequestContext,
+    cx: &RequestContext,
     retry: &mut RetryState,
     last_event_id: Option<u64>,
 ) -> Option<StreamStart> {
@@ -257,22 +257,22 @@
 
 /// Records the tokens that the request has used: those of its prompt and of
 /// `events` events.
-fn record_usage(cx: &mut RequestContext, events: u64) {
+fn record_usage(cx: &RequestContext, events: u64) {
     let service = cx.index.service(&cx.service);
     let per_event = service
         .and_then(|service| service.engine)
         .map_or(1, |engine| engine.tokens_per_event);
     let output = (events * per_event).min(cx.metadata.max_output_tokens.unwrap_or(0));
     let used = cx.metadata.prompt.prompt_tokens + output;
-    if let Some(reservation) = &mut cx.reservation {
-        reservation.set_used(used);
+    if let Some(reservation) = &cx.reservation {
+        reservation.raise_used(used);
     }
 }
 
 /// Forwards a stream until it ends, fails without another server to resume it,
 /// or the caller disconnects.
 async fn relay_stream(
-    mut cx: RequestContext,
+    cx: RequestContext,
     mut retry: RetryState,
     mut stream: ServerStream,
     event: Bytes,
@@ -293,7 +293,7 @@
                 if !repeated {
                     progress.events += 1;
                     progress.last_event_id = id.or(progress.last_event_id);
-                    record_usage(&mut cx, progress.events);
+                    record_usage(&cx, progress.events);
                     longest_gap = longest_gap.max(last_event_at.elapsed());
                     last_event_at = Instant::now();
                     if tx.send(Ok(event)).await.is_err() {
@@ -317,7 +317,11 @@
                     break "broken";
                 }
                 cx.shared.metrics.record_retry("stream-broke");
-                let Some((resumed, event)) = resume(&mut cx, &mut retry, progress).await else {
+                let resumed = tokio::select! {
+                    resumed = resume(&cx, &mut retry, progress) => resumed,
+                    () = tx.closed() => break "caller left",
+                };
+                let Some((resumed, event)) = resumed else {
                     abort_body(&tx).await;
                     break "broken";
                 };
@@ -354,13 +358,11 @@
 
 /// Resumes the stream at another server after the last forwarded event.
 async fn resume(
-    cx: &mut RequestContext,
+    cx: &RequestContext,
     retry: &mut RetryState,
     progress: StreamProgress,
 ) -> Option<(ServerStream, Option<Bytes>)> {
-    let started = start(cx, retry, progress.last_event_id).await;
-    record_usage(cx, progress.events);
-    match started? {
+    match start(cx, retry, progress.last_event_id).await? {
         StreamStart::Stream(stream, event) => {
             log::info!(id = cx.id(), server = stream.response.server.as_str(), version = stream.response.version.as_str(), after = progress.last_event_id; "stream resumed at another server");
             Some((stream, Some(event)))
