Let attempts run beside silent servers

Cause: gap_limit, first_event_limit and attempt_limit ended the first attempt before it was known whether another could take over. Without a retry budget, without a second server or with one that failed, nothing was left to answer.

Change: an attempt ends only with an answer, a failure or the time limit of its request. A silent attempt counts as a possible execution; ejection still follows silence (Placement::record_silence).

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -9,9 +9,11 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
-use peridotslip::forwarding::{AttemptOutcome, Selection, ServerEntry, ServerId, ServerVersion};
+use peridotslip::forwarding::{
+    AttemptOutcome, SelectedServer, Selection, ServerEntry, ServerId, ServerVersion,
+};
 
-use super::{AttemptError, RetryState, UNREACHABLE};
+use super::{AttemptError, UNREACHABLE, retry::RetryState};
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
@@ -88,20 +90,20 @@
     kv_source: Option<&'a str>,
 }
 
-impl ServerResponse {
-    /// Selects a server, sends the request and waits up to `limit` for the head
-    /// of the response. Returns `None` if no server is left.
-    pub(super) async fn send(
-        cx: &RequestContext,
-        retry: &RetryState,
-        last_event_id: Option<u64>,
-        limit: Duration,
-    ) -> Option<Result<Self, (ServerId, AttemptError)>> {
+/// A server that has been selected for an attempt. The request counts as in
+/// flight there.
+pub(super) struct SelectedAttempt {
+    in_flight: InFlightGuard,
+    selected: SelectedServer,
+}
+
+impl SelectedAttempt {
+    /// Selects a server. Returns `None` if none is left.
+    pub(super) fn select(cx: &RequestContext, retry: &RetryState) -> Option<Self> {
         let now_ms = cx.shared.clock.now_ms();
-        let prompt = &cx.metadata.prompt;
         let selection = Selection {
             service: &cx.service,
-            prompt,
+            prompt: &cx.metadata.prompt,
             attempted: &retry.tried,
             versions: retry.versions.as_deref(),
         };
@@ -109,48 +111,66 @@
             .shared
             .placement()
             .choose_with_kv_source(&selection, now_ms)?;
-        let server = selected.server;
-        let mut in_flight = InFlightGuard {
+        let in_flight = InFlightGuard {
             shared: cx.shared.clone(),
-            server: server.id.clone(),
+            server: selected.server.id.clone(),
             ended: false,
         };
+        Some(Self {
+            in_flight,
+            selected,
+        })
+    }
+
+    /// Returns the server's ID.
+    pub(super) fn server(&self) -> &ServerId {
+        &self.selected.server.id
+    }
+
+    /// Sends the request and waits for the head of the response.
+    pub(super) async fn send(
+        self,
+        cx: &RequestContext,
+        last_event_id: Option<u64>,
+    ) -> Result<ServerResponse, AttemptError> {
+        let Self {
+            mut in_flight,
+            selected,
+        } = self;
+        let server = selected.server;
         let options = SendOptions {
             last_event_id,
             kv_source: selected.kv_source.as_deref(),
         };
-        let sent = Self::exchange(cx, &server, &options, limit, &mut in_flight).await;
-        Some(match sent {
-            Ok((connection, response, metadata, sent_at)) => {
-                let (parts, body) = response.into_parts();
-                let framed = body.size_hint().exact().is_some()
-                    || parts.headers.contains_key(header::TRANSFER_ENCODING);
-                Ok(Self {
-                    in_flight,
-                    connection,
-                    sent_at,
-                    uncached_tokens: selected.uncached_tokens,
-                    keep_alive_s: metadata.keep_alive_s,
-                    closing: metadata.closing,
-                    server: server.id,
-                    version: server.version,
-                    status: parts.status,
-                    headers: parts.headers,
-                    body,
-                    framed,
-                })
-            }
-            Err(error) => Err((server.id, error)),
+        let (connection, response, metadata, sent_at) =
+            ServerResponse::exchange(cx, &server, &options, &mut in_flight).await?;
+        let (parts, body) = response.into_parts();
+        let framed = body.size_hint().exact().is_some()
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        Ok(ServerResponse {
+            in_flight,
+            connection,
+            sent_at,
+            uncached_tokens: selected.uncached_tokens,
+            keep_alive_s: metadata.keep_alive_s,
+            closing: metadata.closing,
+            server: server.id,
+            version: server.version,
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            framed,
         })
     }
+}
 
+impl ServerResponse {
     /// Sends the request on a connection to `server` and checks the head of the
     /// response. Ends `in_flight` with the outcome of a failed attempt.
     async fn exchange(
         cx: &RequestContext,
         server: &ServerEntry,
         options: &SendOptions<'_>,
-        limit: Duration,
         in_flight: &mut InFlightGuard,
     ) -> Result<
         (
@@ -191,7 +211,7 @@
             }
         };
         let sent_at = Instant::now();
-        let response = match tokio::time::timeout(limit, connection.send(request)).await {
+        let response = match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(SendResult::Response(response)) => response,
             Ok(SendResult::Unwritten) => {
                 in_flight.end(AttemptOutcome::Neutral);
--- /dev/null
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -0,0 +1,135 @@
+//! What the attempts of a request permit next.
+
+use peridotslip::forwarding::{ServerId, ServerVersion};
+
+use super::{AttemptError, UNREACHABLE};
+use crate::{
+    context::{Rejection, RequestContext},
+    reason::RejectionReason,
+};
+
+/// The attempts made for one request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RetryState {
+    /// Servers to which attempts were made that failed or are silent.
+    pub(super) tried: Vec<ServerId>,
+    /// Servers whose silent attempts count as possible executions.
+    silent: Vec<ServerId>,
+    /// The software versions that may serve the request; `None` if any may.
+    pub(super) versions: Option<Vec<ServerVersion>>,
+    /// Whether the request goes on with a stream of a version.
+    pub(super) resumes: bool,
+    /// Whether any server could be reached.
+    reached: bool,
+    /// Number of attempts in which the server may have run the request.
+    possible_executions: u32,
+    /// Whether the first send has been counted in the retry budget.
+    first_send_counted: bool,
+}
+
+impl RetryState {
+    /// Records a failed attempt.
+    pub(super) fn record_failure(
+        &mut self,
+        cx: &RequestContext,
+        server: &ServerId,
+        error: &AttemptError,
+    ) {
+        let reason = match error {
+            AttemptError::NotRun(reason) => reason,
+            AttemptError::MayHaveRun(reason) => reason.as_str(),
+            AttemptError::Late => "late",
+        };
+        log::info!(id = cx.id(), server = server.as_str(), reason, failed:? = error; "attempt failed");
+        self.reached |= *error != UNREACHABLE;
+        match (error, self.silent.contains(server)) {
+            (AttemptError::NotRun(_), true) => self.possible_executions -= 1,
+            (AttemptError::NotRun(_), false) => self.tried.push(server.clone()),
+            (_, _) => self.record_possible_execution(server),
+        }
+    }
+
+    /// Records that the server of a running attempt is silent. Until the attempt
+    /// ends, it counts as one in which the server may have run the request.
+    pub(super) fn record_silence(&mut self, cx: &RequestContext, server: &ServerId) {
+        if self.silent.contains(server) {
+            return;
+        }
+        log::info!(id = cx.id(), server = server.as_str(); "server is silent; waiting for it and trying another if permitted");
+        self.reached = true;
+        self.silent.push(server.clone());
+        self.record_possible_execution(server);
+        let now_ms = cx.shared.clock.now_ms();
+        if cx.shared.placement().record_silence(server, now_ms) {
+            log::warn!(server = server.as_str(); "repeated failures; avoiding the server");
+        }
+    }
+
+    /// Records an attempt in which the server may have run the request.
+    pub(super) fn record_possible_execution(&mut self, server: &ServerId) {
+        if !self.tried.contains(server) {
+            self.tried.push(server.clone());
+            self.possible_executions += 1;
+        }
+    }
+
+    /// Returns whether the route permits another attempt beside or after those
+    /// recorded: always if no server can have run the request.
+    pub(super) fn permits_another(&self, cx: &RequestContext) -> bool {
+        if self.possible_executions == 0 {
+            return true;
+        }
+        let route = cx.route.as_ref();
+        route.is_some_and(|route| {
+            route.is_retry_safe() && self.possible_executions < route.max_attempts
+        })
+    }
+
+    /// Returns whether the request may be sent now. The first send is always
+    /// allowed; each further one needs the retry budget.
+    pub(super) fn may_send(&self, cx: &RequestContext) -> bool {
+        let now_ms = cx.shared.clock.now_ms();
+        let allowed = !self.first_send_counted
+            || cx
+                .shared
+                .with_retry_budget(&cx.service, |budget| budget.permits_retry(now_ms));
+        if !allowed {
+            log::info!(id = cx.id(), service = cx.service.as_str(); "retry budget exhausted; not retrying the request");
+        }
+        allowed
+    }
+
+    /// Counts a send that [`may_send`](Self::may_send) has allowed.
+    pub(super) fn count_send(&mut self, cx: &RequestContext) {
+        let now_ms = cx.shared.clock.now_ms();
+        cx.shared.with_retry_budget(&cx.service, |budget| {
+            if self.first_send_counted {
+                budget.withdraw(now_ms);
+            } else {
+                budget.deposit();
+            }
+        });
+        self.first_send_counted = true;
+    }
+
+    /// Returns the rejection that the caller gets after the last attempt.
+    pub(super) fn rejection(&self, cx: &RequestContext) -> Rejection {
+        let after_ms = cx.shared.settings().timing.retry_after_ms;
+        let late = cx.time_remaining().is_zero();
+        match (self.possible_executions, late) {
+            (0, true) => Rejection::after(RejectionReason::NotStarted, after_ms),
+            (0, false) if self.tried.is_empty() && self.resumes => {
+                Rejection::new(RejectionReason::VersionGone)
+            }
+            (0, false) if self.tried.is_empty() => {
+                Rejection::after(RejectionReason::NoServer, after_ms)
+            }
+            (0, false) if !self.reached => {
+                Rejection::after(RejectionReason::ServersUnreachable, after_ms)
+            }
+            (0, false) => Rejection::after(RejectionReason::ServersFull, after_ms),
+            (_, true) => Rejection::new(RejectionReason::TimedOut),
+            (_, false) => Rejection::new(RejectionReason::ServerBroke),
+        }
+    }
+}
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -1,32 +1,39 @@
 //! Responses that are streams of events, forwarded event by event.
 //!
 //! If a server's stream fails and the route permits a retry, the stream resumes
-//! at another server after the last forwarded event. The caller gets a single
-//! response, with the head from the first server.
+//! at another server after the last forwarded event. If the server is silent, it
+//! resumes there only if the other server's next event comes first. The caller
+//! gets a single response, with the head from the first server.
 
 use std::time::{Duration, Instant};
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use peridotslip::events::{EventFramer, event_id};
 
-use super::{AttemptError, RetryState, ServedBy, ServerResponse, end_to_end_headers};
+use super::{
+    AttemptError, RetryState, ServedBy, ServerResponse,
+    attempts::{Answer, ReadAnswer, first_answer},
+    end_to_end_headers,
+};
 use crate::{
     body::{Body, BodyError, BodySender, channel, full},
     budgets::ReservationGuard,
     context::{Rejection, RequestContext},
     reason::RejectionReason,
+    silence::silence,
     stream_origins,
 };
 
 /// Longest body of an error response, in bytes.
 const MAX_ERROR_BYTES: usize = 1024 * 1024;
-/// Time limit for the first event as a multiple of the route's first-byte
-/// target, if another attempt may follow.
+/// How long a server may be silent before its first event, as a multiple of the
+/// route's first-byte target, before another attempt starts beside it.
 const TARGETS_BEFORE_RETRY: f64 = 2.5;
-/// Time limit for the next event as a multiple of the route's target gap
-/// between events, if another attempt may follow.
+/// How long a server may be silent between events, as a multiple of the route's
+/// target gap, before the stream may resume at another server.
 const GAPS_BEFORE_RETRY: u32 = 4;
 /// Target gap between events if the route sets none, in milliseconds.
 const DEFAULT_GAP_MS: u64 = 500;
@@ -101,7 +108,7 @@
     if resumable {
         permit_versions(&mut cx, &mut retry).await?;
     }
-    let started = start(&cx, &mut retry, last_event_id).await;
+    let started = first_answer(&cx, &mut retry, &ReadStreamStart, last_event_id).await;
     match started {
         None => Err(retry.rejection(&cx)),
         Some(StreamStart::Failure(response)) => Ok(response.map(full)),
@@ -162,97 +169,69 @@
     response
 }
 
-/// Sends the request to one server after another until one has sent its first
-/// event.
-async fn start(
-    cx: &RequestContext,
-    retry: &mut RetryState,
-    last_event_id: Option<u64>,
-) -> Option<StreamStart> {
-    while !cx.time_remaining().is_zero() && retry.may_send(cx) {
-        let limit = first_event_limit(cx, retry);
-        let failure = match ServerResponse::send(cx, retry, last_event_id, limit).await? {
-            Ok(response) => {
-                record_usage(cx, 0);
-                match read_first_event(cx, response, limit).await {
-                    Ok(started) => return Some(started),
-                    Err(failure) => failure,
-                }
+/// Reads responses up to the first event. Error responses are read completely.
+struct ReadStreamStart;
+
+#[async_trait]
+impl ReadAnswer for ReadStreamStart {
+    type Output = StreamStart;
+
+    async fn read(
+        &self,
+        cx: &RequestContext,
+        response: ServerResponse,
+    ) -> Result<Answer<StreamStart>, AttemptError> {
+        record_usage(cx, 0);
+        if !response.status.is_success() {
+            let response = read_error_response(cx, response).await?;
+            return Ok(Answer::Provisional(StreamStart::Failure(response)));
+        }
+        let mut stream = ServerStream {
+            response,
+            framer: EventFramer::default(),
+        };
+        let error = match stream.next(cx.time_remaining()).await {
+            StreamItem::Event(event) => {
+                stream.response.record_first_byte(cx);
+                return Ok(Answer::Final(StreamStart::Stream(stream, event)));
             }
-            Err(failure) => failure,
+            StreamItem::End => return Ok(Answer::Final(StreamStart::Empty(stream))),
+            StreamItem::Broken(reason) => AttemptError::MayHaveRun(reason),
+            StreamItem::TimedOut => AttemptError::Late,
         };
-        let (server, error) = failure;
-        if !matches!(error, AttemptError::NotRun(_)) {
-            record_usage(cx, 0);
-        }
-        if !retry.record_failure(cx, server, &error) {
-            return None;
-        }
-        cx.shared.metrics.record_retry("stream-not-begun");
+        stream.response.abort();
+        Err(error)
     }
-    None
-}
 
-/// Reads the first event of a successful response, or the complete body of an
-/// error response.
-async fn read_first_event(
-    cx: &RequestContext,
-    response: ServerResponse,
-    limit: Duration,
-) -> Result<StreamStart, (String, AttemptError)> {
-    let server = response.server.clone();
-    if !response.status.is_success() {
-        return read_error_response(response, limit).await;
+    fn silence_limit(&self, cx: &RequestContext) -> Option<Duration> {
+        let route = cx.route.as_ref()?;
+        let target_ms = route.first_byte_target_ms;
+        (route.is_retry_safe() && target_ms > 0)
+            .then(|| Duration::from_millis(target_ms).mul_f64(TARGETS_BEFORE_RETRY))
+    }
+
+    fn retry_label(&self) -> &'static str {
+        "stream-not-begun"
     }
-    let mut stream = ServerStream {
-        response,
-        framer: EventFramer::default(),
-    };
-    let error = match stream.next(limit).await {
-        StreamItem::Event(event) => {
-            stream.response.record_first_byte(cx);
-            return Ok(StreamStart::Stream(stream, event));
-        }
-        StreamItem::End => return Ok(StreamStart::Empty(stream)),
-        StreamItem::Broken(reason) => AttemptError::MayHaveRun(reason),
-        StreamItem::TimedOut => AttemptError::Late,
-    };
-    stream.response.abort();
-    Err((server, error))
 }
 
 /// Reads the complete body of an error response.
 async fn read_error_response(
+    cx: &RequestContext,
     mut from_server: ServerResponse,
-    limit: Duration,
-) -> Result<StreamStart, (String, AttemptError)> {
-    let server = from_server.server.clone();
+) -> Result<Response<Bytes>, AttemptError> {
     let body = Limited::new(&mut from_server.body, MAX_ERROR_BYTES).collect();
-    let error = match tokio::time::timeout(limit, body).await {
+    let error = match tokio::time::timeout(cx.time_remaining(), body).await {
         Ok(Ok(body)) => {
             let response = head(&from_server).map(|()| body.to_bytes());
             from_server.complete();
-            return Ok(StreamStart::Failure(response));
+            return Ok(response);
         }
         Ok(Err(err)) => AttemptError::MayHaveRun(err.to_string()),
         Err(_) => AttemptError::Late,
     };
     from_server.abort();
-    Err((server, error))
-}
-
-/// Returns the time limit for the next attempt's first event: the remaining
-/// time, or less if another attempt may follow.
-fn first_event_limit(cx: &RequestContext, retry: &RetryState) -> Duration {
-    let remaining = cx.time_remaining();
-    let Some(route) = cx.route.as_ref() else {
-        return remaining;
-    };
-    let last = !route.is_retry_safe() || retry.possible_executions + 1 >= route.max_attempts;
-    if last || route.first_byte_target_ms == 0 {
-        return remaining;
-    }
-    remaining.min(Duration::from_millis(route.first_byte_target_ms).mul_f64(TARGETS_BEFORE_RETRY))
+    Err(error)
 }
 
 /// Records the tokens that the request has used: those of its prompt and of
@@ -312,7 +291,8 @@
                 };
                 let server = stream.response.server.clone();
                 stream.response.abort();
-                if !retry.record_failure(&cx, server, &error) {
+                retry.record_failure(&cx, &server, &error);
+                if !retry.permits_another(&cx) {
                     abort_body(&tx).await;
                     break "broken";
                 }
@@ -321,18 +301,17 @@
                     resumed = resume(&cx, &mut retry, progress) => resumed,
                     () = tx.closed() => break "caller left",
                 };
-                let Some((resumed, event)) = resumed else {
+                let Some((resumed, item)) = resumed else {
                     abort_body(&tx).await;
                     break "broken";
                 };
                 stream = resumed;
-                next = event.map_or(StreamItem::End, StreamItem::Event);
+                next = item;
                 continue;
             }
         }
-        let limit = gap_limit(&cx, &retry);
         next = tokio::select! {
-            next = stream.next(limit) => next,
+            next = next_item(&cx, &mut retry, &mut stream, progress) => next,
             () = tx.closed() => break "caller left",
         };
     };
@@ -356,36 +335,69 @@
     }
 }
 
-/// Resumes the stream at another server after the last forwarded event.
+/// Waits for the next item of a stream. While the server is silent, the stream
+/// resumes at another one if that one's next item comes first.
+async fn next_item(
+    cx: &RequestContext,
+    retry: &mut RetryState,
+    stream: &mut ServerStream,
+    progress: StreamProgress,
+) -> StreamItem {
+    loop {
+        tokio::select! {
+            biased;
+            item = stream.next(cx.time_remaining()) => return item,
+            () = silence(gap_limit(cx)) => {}
+        }
+        retry.record_silence(cx, &stream.response.server);
+        if !retry.permits_another(cx) {
+            continue;
+        }
+        cx.shared.metrics.record_retry("stream-silent");
+        let resumption = resume(cx, retry, progress);
+        tokio::pin!(resumption);
+        let resumed = tokio::select! {
+            biased;
+            item = stream.next(cx.time_remaining()) => match item {
+                StreamItem::Event(_) | StreamItem::End => return item,
+                StreamItem::Broken(_) | StreamItem::TimedOut => match resumption.await {
+                    None => return item,
+                    resumed => resumed,
+                },
+            },
+            resumed = &mut resumption => resumed,
+        };
+        if let Some((resumed, item)) = resumed {
+            *stream = resumed;
+            return item;
+        }
+    }
+}
+
+/// Resumes the stream at another server after the last forwarded event. Returns
+/// the stream and its first item.
 async fn resume(
     cx: &RequestContext,
     retry: &mut RetryState,
     progress: StreamProgress,
-) -> Option<(ServerStream, Option<Bytes>)> {
-    match start(cx, retry, progress.last_event_id).await? {
+) -> Option<(ServerStream, StreamItem)> {
+    match first_answer(cx, retry, &ReadStreamStart, progress.last_event_id).await? {
         StreamStart::Stream(stream, event) => {
             log::info!(id = cx.id(), server = stream.response.server.as_str(), version = stream.response.version.as_str(), after = progress.last_event_id; "stream resumed at another server");
-            Some((stream, Some(event)))
+            Some((stream, StreamItem::Event(event)))
         }
-        StreamStart::Empty(stream) => Some((stream, None)),
+        StreamStart::Empty(stream) => Some((stream, StreamItem::End)),
         StreamStart::Failure(_) => None,
     }
 }
 
-/// Returns the time limit for the next event: the remaining time, or less if
-/// another attempt may follow.
-fn gap_limit(cx: &RequestContext, retry: &RetryState) -> Duration {
-    let remaining = cx.time_remaining();
-    let Some(route) = cx.route.as_ref() else {
-        return remaining;
-    };
-    if !route.is_retry_safe() || retry.possible_executions + 1 >= route.max_attempts {
-        return remaining;
-    }
-    let gap_ms = if route.gap_target_ms == 0 {
-        DEFAULT_GAP_MS
-    } else {
-        route.gap_target_ms
+/// Returns how long a server may be silent between events before the stream may
+/// resume at another server; `None` if it must not.
+fn gap_limit(cx: &RequestContext) -> Option<Duration> {
+    let route = cx.route.as_ref().filter(|route| route.is_retry_safe())?;
+    let gap_ms = match route.gap_target_ms {
+        0 => DEFAULT_GAP_MS,
+        gap_ms => gap_ms,
     };
-    remaining.min(Duration::from_millis(gap_ms) * GAPS_BEFORE_RETRY)
+    Some(Duration::from_millis(gap_ms) * GAPS_BEFORE_RETRY)
 }
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod run;
 mod server_versions;
 pub mod settings;
+mod silence;
 mod store_availability;
 mod store_watch;
 mod stream_origins;
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -180,6 +180,20 @@
         self.accepts_requests(now_ms) && now_ms >= self.avoid_until_ms && !trial_in_flight
     }
 
+    /// Records a failure. Returns `true` if the server is ejected because of it.
+    fn record_failure(&mut self, now_ms: u64) -> bool {
+        self.failures += 1;
+        self.segments = SegmentCache::default();
+        if self.failures < FAILURES_TO_EJECT && self.ejections == 0 {
+            return false;
+        }
+        let doubled = FIRST_EJECTION_MS << self.ejections.min(8);
+        self.avoid_until_ms = now_ms + doubled.min(MAX_EJECTION_MS);
+        self.ejections += 1;
+        self.failures = 0;
+        true
+    }
+
     /// Returns the estimated number of requests at the server.
     fn load(&self, now_ms: u64) -> u32 {
         match self.report {
@@ -615,20 +629,18 @@
                 tracked.avoid_until_ms = tracked.avoid_until_ms.max(now_ms + FULL_BACKOFF_MS);
             }
             AttemptOutcome::WrongServer => tracked.draining = true,
-            AttemptOutcome::Failed => {
-                tracked.failures += 1;
-                tracked.segments = SegmentCache::default();
-                if tracked.failures >= FAILURES_TO_EJECT || tracked.ejections > 0 {
-                    let doubled = FIRST_EJECTION_MS << tracked.ejections.min(8);
-                    tracked.avoid_until_ms = now_ms + doubled.min(MAX_EJECTION_MS);
-                    tracked.ejections += 1;
-                    tracked.failures = 0;
-                    return true;
-                }
-            }
+            AttemptOutcome::Failed => return tracked.record_failure(now_ms),
         }
         false
     }
+
+    /// Records that a server has been silent for longer than expected during a
+    /// request that goes on. Returns `true` if the server is ejected because of
+    /// it.
+    pub fn record_silence(&mut self, id: &str, now_ms: u64) -> bool {
+        let tracked = self.servers.get_mut(id);
+        tracked.is_some_and(|tracked| tracked.record_failure(now_ms))
+    }
 }
 
 /// Returns the preferred engine for a prompt segment, which is the same on
--- a/crates/peridotslip/src/forwarding/retry_budget.rs
+++ b/crates/peridotslip/src/forwarding/retry_budget.rs
@@ -41,10 +41,15 @@
         self.balance = (self.balance + self.ratio).min(self.max_balance());
     }
 
+    /// Returns whether the budget allows a retry now.
+    pub fn permits_retry(&mut self, now_ms: u64) -> bool {
+        self.refill(now_ms);
+        self.balance >= 1.0
+    }
+
     /// Takes one retry from the budget. Returns `false` if the budget is spent.
     pub fn withdraw(&mut self, now_ms: u64) -> bool {
-        self.refill(now_ms);
-        if self.balance < 1.0 {
+        if !self.permits_retry(now_ms) {
             return false;
         }
         self.balance -= 1.0;
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -309,6 +309,34 @@
     );
 }
 
+/// Guards against a silent server that is selected again and again because its
+/// attempts go on.
+#[test]
+fn a_server_that_is_silent_repeatedly_is_avoided_until_it_answers() {
+    let mut placement = engines(2);
+    let prompt = PromptProfile::default();
+    for _ in 0..2 {
+        placement.choose("model", &prompt, &["e1".to_owned()], 0);
+    }
+
+    assert!(!placement.record_silence("e0", 0));
+    assert!(placement.record_silence("e0", 0));
+
+    for _ in 0..10 {
+        let chosen = placement.choose("model", &prompt, &[], 500).unwrap();
+        assert_eq!(chosen.id, "e1");
+        placement.finish("e1", AttemptOutcome::Answered, 500);
+    }
+    // The silent requests have been answered after all.
+    for _ in 0..2 {
+        placement.finish("e0", AttemptOutcome::Answered, 600);
+    }
+    let chosen: Vec<_> = (0..2)
+        .map(|_| placement.choose("model", &prompt, &[], 1_500).unwrap().id)
+        .collect();
+    assert!(chosen.contains(&"e0".to_owned()), "{chosen:?}");
+}
+
 #[test]
 fn a_slow_server_is_avoided() {
     let mut placement = engines(3);
