Read a connection before its head limit is applied

Cause: callers got 408 for heads that were complete in the router's socket, because the head limit was checked before the read. A pause of the router's process, or work that holds its only thread, was taken for the caller's.

Change: the limit applies only when a read finds no bytes. The socket itself is asked too, because the runtime learns of bytes later than they arrive. A slow head still gets 408.

No test covers bytes that the runtime has not reported yet.

--- a/crates/peridotslip-edge/src/head_limit.rs
+++ b/crates/peridotslip-edge/src/head_limit.rs
@@ -7,6 +7,7 @@
 use std::{
     future::Future,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{
         Arc,
@@ -16,6 +17,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -97,6 +99,13 @@
         let timer = self.timer.as_mut();
         timer.is_some_and(|timer| timer.as_mut().poll(cx).is_ready())
     }
+
+    /// Returns whether the socket holds bytes or an error that the runtime has not
+    /// reported yet. A read that is pending is woken for them.
+    fn has_unread_bytes(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 impl AsyncRead for HeaderTimeoutStream {
@@ -106,14 +115,17 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.is_head_late(cx) {
+        let before = buf.filled().len();
+        // Bytes may be read later than they arrived, so the limit applies only when
+        // none are left.
+        let read = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if read.is_pending() && this.is_head_late(cx) && !this.has_unread_bytes() {
             let written = this.stream.try_write(REQUEST_TIMEOUT);
             log::info!(answered = written.is_ok(); "request head timed out; closing the connection");
             // The HTTP library treats an empty read as the end of the connection.
             return Poll::Ready(Ok(()));
         }
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        ready!(read)?;
         if buf.filled().len() > before && this.timer.is_none() && !this.request_active.get() {
             this.timer = Some(Box::pin(tokio::time::sleep(this.limit)));
         }
