Tie the timer of a head to that head

Cause: callers got 408 on an idle connection, or in place of the answer to a pipelined request, because the timer of a head was stopped only by a read during the request. The HTTP library doesn't read then if it holds bytes of what follows.

Change: the requests of a connection are counted at their head's end and at their own end. A timer is valid only for the count at which it was started.

--- a/crates/peridotslip-edge/src/head_limit.rs
+++ b/crates/peridotslip-edge/src/head_limit.rs
@@ -11,7 +11,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -28,30 +28,30 @@
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// Whether a connection has an active request: one whose head is complete and
-/// whose response is not.
+/// The number of requests whose heads are complete plus the number of those that
+/// have ended: odd while a request is active.
 #[derive(Clone, Default)]
-pub(crate) struct RequestActive(Arc<AtomicBool>);
+pub(crate) struct RequestSequence(Arc<AtomicU64>);
 
-impl RequestActive {
+impl RequestSequence {
     /// Marks a request whose head is complete as active until the guard is
     /// dropped.
     pub(crate) fn begin(&self) -> RequestActiveGuard {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.fetch_add(1, Ordering::Relaxed);
         RequestActiveGuard {
-            request_active: self.clone(),
+            sequence: self.clone(),
             until_close: false,
         }
     }
 
-    fn get(&self) -> bool {
+    fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 }
 
 /// Marks the request as ended when dropped.
 pub(crate) struct RequestActiveGuard {
-    request_active: RequestActive,
+    sequence: RequestSequence,
     until_close: bool,
 }
 
@@ -65,39 +65,62 @@
 
 impl Drop for RequestActiveGuard {
     fn drop(&mut self) {
-        self.request_active
-            .0
-            .store(self.until_close, Ordering::Relaxed);
+        if !self.until_close {
+            self.sequence.0.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
+/// The timer of one head.
+struct HeadTimer {
+    sleep: Pin<Box<Sleep>>,
+    /// The sequence at the first bytes of the head. It changes at the head's end.
+    sequence: u64,
+}
+
 /// A caller's connection that responds with 408 and ends when a head is not
 /// complete in time after its first bytes.
 pub(crate) struct HeaderTimeoutStream {
     stream: TcpStream,
     limit: Duration,
-    request_active: RequestActive,
-    /// Set from the first bytes of a head to the head's end.
-    timer: Option<Pin<Box<Sleep>>>,
+    sequence: RequestSequence,
+    /// Set from the first bytes of a head.
+    timer: Option<HeadTimer>,
 }
 
 impl HeaderTimeoutStream {
-    pub(crate) fn new(stream: TcpStream, limit: Duration, request_active: RequestActive) -> Self {
+    pub(crate) fn new(stream: TcpStream, limit: Duration, sequence: RequestSequence) -> Self {
         Self {
             stream,
             limit,
-            request_active,
+            sequence,
             timer: None,
         }
     }
 
     /// Returns whether the time limit of the current head has expired.
     fn is_head_late(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.request_active.get() {
+        let sequence = self.sequence.get();
+        if self
+            .timer
+            .as_ref()
+            .is_some_and(|timer| timer.sequence != sequence)
+        {
             self.timer = None;
         }
         let timer = self.timer.as_mut();
-        timer.is_some_and(|timer| timer.as_mut().poll(cx).is_ready())
+        timer.is_some_and(|timer| timer.sleep.as_mut().poll(cx).is_ready())
+    }
+
+    /// Starts the timer of a head when its first bytes have been read.
+    fn record_bytes(&mut self) {
+        let sequence = self.sequence.get();
+        let timed = self.timer.as_ref().map(|timer| timer.sequence);
+        let request_active = sequence % 2 == 1;
+        if timed != Some(sequence) && !request_active {
+            let sleep = Box::pin(tokio::time::sleep(self.limit));
+            self.timer = Some(HeadTimer { sleep, sequence });
+        }
     }
 
     /// Returns whether the socket holds bytes or an error that the runtime has not
@@ -126,8 +149,8 @@
             return Poll::Ready(Ok(()));
         }
         ready!(read)?;
-        if buf.filled().len() > before && this.timer.is_none() && !this.request_active.get() {
-            this.timer = Some(Box::pin(tokio::time::sleep(this.limit)));
+        if buf.filled().len() > before {
+            this.record_bytes();
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -21,7 +21,7 @@
     context::{OpenRequestGuard, Rejection, RequestContext, SharedState},
     dispatch,
     filters::Chain,
-    head_limit::{HeaderTimeoutStream, RequestActive},
+    head_limit::{HeaderTimeoutStream, RequestSequence},
     reason::RejectionReason,
 };
 
@@ -75,11 +75,11 @@
         log::debug!("can't set TCP_NODELAY on a caller's connection: {err}");
     }
     let limits = shared.index().table().limits;
-    let request_active = RequestActive::default();
+    let sequence = RequestSequence::default();
     let head_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let stream = HeaderTimeoutStream::new(stream, head_timeout, request_active.clone());
+    let stream = HeaderTimeoutStream::new(stream, head_timeout, sequence.clone());
     let service = service_fn(move |request| {
-        let open_guard = OpenRequestGuard::new(&shared, request_active.begin());
+        let open_guard = OpenRequestGuard::new(&shared, sequence.begin());
         handle_request(shared.clone(), chain.clone(), request, open_guard)
     });
     let connection = http1::Builder::new()
