Count idle time and head time separately

Cause: a caller whose head began shortly before the idle limit got no answer and a closed connection, because the HTTP library's single limit counts the idle time and the head together. Ruled out: a longer limit for the library, which would leave idle connections open for longer than the table says.

Change: the wrapper around a caller's connection (`LimitedStream`, before `HeaderTimeoutStream`) has both limits, each with its own start, on one timer. The idle time begins when the response has been sent completely, so the guard of an active request moves into the response's body. A response to a request whose body was not read says `Connection: close`, because no limit applies after it.

--- a/crates/peridotslip-edge/src/body.rs
+++ b/crates/peridotslip-edge/src/body.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http_body::Frame;
+use http_body::{Frame, SizeHint};
 use http_body_util::{Either, Full};
 use quick_error::quick_error;
 use tokio::sync::mpsc;
@@ -62,3 +62,40 @@
             .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
     }
 }
+
+/// A response body that holds a guard until the HTTP library has taken all of
+/// the body.
+#[derive(Debug)]
+pub(crate) struct GuardedBody<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G> GuardedBody<G> {
+    pub(crate) fn new(body: Body, guard: G) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl<G: Unpin> http_body::Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = <Body as http_body::Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -16,7 +16,6 @@
 use crate::{
     budgets::{BudgetManager, ReservationGuard},
     clock::Clock,
-    head_limit::RequestActiveGuard,
     metrics::Metrics,
     peers::Peers,
     ports::{Platform, RequestMetadata},
@@ -155,23 +154,15 @@
 /// Counts a request as open until dropped.
 pub(crate) struct OpenRequestGuard {
     shared: Arc<SharedState>,
-    connection_guard: RequestActiveGuard,
 }
 
 impl OpenRequestGuard {
-    pub(crate) fn new(shared: &Arc<SharedState>, connection_guard: RequestActiveGuard) -> Self {
+    pub(crate) fn new(shared: &Arc<SharedState>) -> Self {
         shared.open_requests.fetch_add(1, Ordering::Relaxed);
         Self {
             shared: shared.clone(),
-            connection_guard,
         }
     }
-
-    /// Disables the header timeout for the rest of the connection: the rest of
-    /// the body is not read, so no further head can follow.
-    pub(crate) fn abandon_connection(&mut self) {
-        self.connection_guard.hold_until_close();
-    }
 }
 
 impl Drop for OpenRequestGuard {
@@ -182,7 +173,7 @@
 
 /// The state of one request in the filters and in dispatch.
 pub(crate) struct RequestContext {
-    pub(crate) open_guard: OpenRequestGuard,
+    pub(crate) _open_guard: OpenRequestGuard,
     pub(crate) shared: Arc<SharedState>,
     /// When the request's head had been read.
     pub(crate) arrived: Instant,
--- a/crates/peridotslip-edge/src/head_limit.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -1,8 +1,8 @@
-//! A time limit for the heads of callers' requests.
+//! Time limits for idle callers' connections and for the heads of requests.
 //!
 //! The HTTP library has a single limit for a request head and the idle time
 //! before it. A connection may stay idle for much longer than a head may take,
-//! so a wrapper around the connection limits the time of a head.
+//! so a wrapper around the connection applies both limits.
 
 use std::{
     future::Future,
@@ -21,7 +21,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::Sleep,
+    time::{Instant, Sleep},
 };
 
 /// Response to a head that exceeds the time limit. The request has not run.
@@ -71,56 +71,77 @@
     }
 }
 
-/// The timer of one head.
-struct HeadTimer {
-    sleep: Pin<Box<Sleep>>,
-    /// The sequence at the first bytes of the head. It changes at the head's end.
-    sequence: u64,
+/// Time limits of a caller's connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Longest time without a byte before a request.
+    pub(crate) idle: Duration,
+    /// Longest time from the first bytes of a head to its end.
+    pub(crate) head: Duration,
 }
 
-/// A caller's connection that responds with 408 and ends when a head is not
-/// complete in time after its first bytes.
-pub(crate) struct HeaderTimeoutStream {
+/// What a connection without an active request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Awaited {
+    /// The first bytes of a head.
+    Request,
+    /// The rest of a head.
+    RestOfHead,
+}
+
+/// A caller's connection that ends when it is idle for too long. If a head is not
+/// complete in time, the connection responds with 408 before it ends.
+pub(crate) struct LimitedStream {
     stream: TcpStream,
-    limit: Duration,
+    limits: ConnectionLimits,
     sequence: RequestSequence,
-    /// Set from the first bytes of a head.
-    timer: Option<HeadTimer>,
+    awaited: Awaited,
+    /// The sequence at which the wait began. It changes at the end of the head.
+    awaited_at: u64,
+    /// Expires at the time limit of the wait.
+    timer: Pin<Box<Sleep>>,
 }
 
-impl HeaderTimeoutStream {
-    pub(crate) fn new(stream: TcpStream, limit: Duration, sequence: RequestSequence) -> Self {
+impl LimitedStream {
+    pub(crate) fn new(
+        stream: TcpStream,
+        limits: ConnectionLimits,
+        sequence: RequestSequence,
+    ) -> Self {
         Self {
             stream,
-            limit,
+            limits,
+            awaited: Awaited::Request,
+            awaited_at: sequence.get(),
             sequence,
-            timer: None,
+            timer: Box::pin(tokio::time::sleep(limits.idle)),
         }
     }
 
-    /// Returns whether the time limit of the current head has expired.
-    fn is_head_late(&mut self, cx: &mut Context<'_>) -> bool {
-        let sequence = self.sequence.get();
-        if self
-            .timer
-            .as_ref()
-            .is_some_and(|timer| timer.sequence != sequence)
-        {
-            self.timer = None;
+    fn limit(&self) -> Duration {
+        match self.awaited {
+            Awaited::Request => self.limits.idle,
+            Awaited::RestOfHead => self.limits.head,
         }
-        let timer = self.timer.as_mut();
-        timer.is_some_and(|timer| timer.sleep.as_mut().poll(cx).is_ready())
     }
 
-    /// Starts the timer of a head when its first bytes have been read.
-    fn record_bytes(&mut self) {
-        let sequence = self.sequence.get();
-        let timed = self.timer.as_ref().map(|timer| timer.sequence);
-        let request_active = sequence % 2 == 1;
-        if timed != Some(sequence) && !request_active {
-            let sleep = Box::pin(tokio::time::sleep(self.limit));
-            self.timer = Some(HeadTimer { sleep, sequence });
+    fn begin_wait(&mut self, awaited: Awaited) {
+        self.awaited = awaited;
+        let until = Instant::now() + self.limit();
+        self.timer.as_mut().reset(until);
+    }
+
+    /// Returns whether the connection waits for a request or the rest of a head.
+    fn is_waiting(&self) -> bool {
+        self.sequence.get() == self.awaited_at
+    }
+
+    /// Waits until the time limit of the current wait has expired.
+    fn poll_limit(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.is_waiting() {
+            return Poll::Pending;
         }
+        self.timer.as_mut().poll(cx)
     }
 
     /// Returns whether the socket holds bytes or an error that the runtime has not
@@ -129,9 +150,20 @@
         let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
         !peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Responds to the head that is late, if one has begun.
+    fn record_expiry(&self) {
+        match self.awaited {
+            Awaited::Request => log::debug!("a caller's connection was idle; closing it"),
+            Awaited::RestOfHead => {
+                let written = self.stream.try_write(REQUEST_TIMEOUT);
+                log::info!(answered = written.is_ok(); "request head timed out; closing the connection");
+            }
+        }
+    }
 }
 
-impl AsyncRead for HeaderTimeoutStream {
+impl AsyncRead for LimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -142,21 +174,21 @@
         // Bytes may be read later than they arrived, so the limit applies only when
         // none are left.
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if read.is_pending() && this.is_head_late(cx) && !this.has_unread_bytes() {
-            let written = this.stream.try_write(REQUEST_TIMEOUT);
-            log::info!(answered = written.is_ok(); "request head timed out; closing the connection");
+        if read.is_pending() && this.poll_limit(cx).is_ready() && !this.has_unread_bytes() {
+            this.record_expiry();
             // The HTTP library treats an empty read as the end of the connection.
             return Poll::Ready(Ok(()));
         }
         ready!(read)?;
-        if buf.filled().len() > before {
-            this.record_bytes();
+        let received = buf.filled().len() > before;
+        if received && this.is_waiting() && this.awaited == Awaited::Request {
+            this.begin_wait(Awaited::RestOfHead);
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for HeaderTimeoutStream {
+impl AsyncWrite for LimitedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -166,7 +198,20 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let this = &mut *self;
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        let sequence = this.sequence.get();
+        let request_active = sequence % 2 == 1;
+        if !request_active && !this.is_waiting() {
+            // The caller has got the complete response.
+            this.awaited_at = sequence;
+            this.begin_wait(Awaited::Request);
+            // The HTTP library may not read again before the timer wakes it.
+            if this.poll_limit(cx).is_ready() {
+                cx.waker().wake_by_ref();
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -17,11 +17,11 @@
 };
 
 use crate::{
-    body::{Body, full},
+    body::{Body, GuardedBody, full},
     context::{OpenRequestGuard, Rejection, RequestContext, SharedState},
     dispatch,
     filters::Chain,
-    head_limit::{HeaderTimeoutStream, RequestSequence},
+    limited_stream::{ConnectionLimits, LimitedStream, RequestActiveGuard, RequestSequence},
     reason::RejectionReason,
 };
 
@@ -76,17 +76,23 @@
     }
     let limits = shared.index().table().limits;
     let sequence = RequestSequence::default();
-    let head_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let stream = HeaderTimeoutStream::new(stream, head_timeout, sequence.clone());
+    let connection_limits = ConnectionLimits {
+        idle: Duration::from_millis(limits.idle_timeout_ms),
+        head: Duration::from_millis(limits.header_timeout_ms),
+    };
+    let stream = LimitedStream::new(stream, connection_limits, sequence.clone());
     let service = service_fn(move |request| {
-        let open_guard = OpenRequestGuard::new(&shared, sequence.begin());
-        handle_request(shared.clone(), chain.clone(), request, open_guard)
+        let (shared, chain) = (shared.clone(), chain.clone());
+        let mut active_guard = sequence.begin();
+        async move {
+            let response = handle_request(shared, chain, request, &mut active_guard).await;
+            let guarded = response.map(|body| GuardedBody::new(body, active_guard));
+            Ok::<_, Infallible>(guarded)
+        }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // This limit covers the idle time before a head as well as the head.
-        // `HeaderTimeoutStream` sets the shorter limit on the head alone.
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        // `LimitedStream` has a limit for the head and one for the idle time.
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -108,14 +114,14 @@
     shared: Arc<SharedState>,
     chain: Arc<Chain>,
     request: Request<Incoming>,
-    open_guard: OpenRequestGuard,
-) -> Result<Response<Body>, Infallible> {
+    active_guard: &mut RequestActiveGuard,
+) -> Response<Body> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let metadata = shared.platform.dialect.decode_request(&parts.headers);
     let mut cx = RequestContext {
         index: shared.index(),
-        open_guard,
+        _open_guard: OpenRequestGuard::new(&shared),
         shared: shared.clone(),
         arrived,
         method: parts.method,
@@ -130,10 +136,13 @@
     };
     let id = cx.id().to_owned();
     let version = cx.index.version();
-    let filtered = match read_body(&mut cx, body).await {
+    let body_read = read_body(&mut cx, body).await;
+    let must_close = body_read.is_err();
+    let filtered = match body_read {
         Ok(()) => chain.apply(&mut cx).await,
         Err(rejection) => {
-            cx.open_guard.abandon_connection();
+            // The rest of the body is not read, so no further head can follow.
+            active_guard.hold_until_close();
             Err(rejection)
         }
     };
@@ -165,11 +174,11 @@
         }
     };
     shared.metrics.record_response(response.status());
-    if shared.is_stopping() {
+    if must_close || shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
 /// Reads the complete body into `cx`. Rejects a request without an attempt ID
