Apply the limits of the table in force to open connections

Cause: after a table that raised the idle limit, a request on a connection that had been idle for less than four fifths of the new limit got no answer: the router closed the connection at the limit of the table that was in force when the connection was accepted. Heads kept the older head limit in the same way. Ruled out: a wake of every connection when a table is activated, because thousands would wake at once.

Change: `LimitedStream` asks for the limits in force through a trait. When its timer expires it looks again, and goes on if the limit has been raised. A lowered limit applies from the next idle time or head on, so that callers who know only one of the two tables are both served.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -16,6 +16,7 @@
 use crate::{
     budgets::{BudgetManager, ReservationGuard},
     clock::Clock,
+    limited_stream::ConnectionLimits,
     metrics::Metrics,
     peers::Peers,
     ports::{Platform, RequestMetadata},
@@ -151,6 +152,16 @@
     }
 }
 
+impl ConnectionLimits for SharedState {
+    fn idle(&self) -> Duration {
+        Duration::from_millis(self.index().table().limits.idle_timeout_ms)
+    }
+
+    fn head(&self) -> Duration {
+        Duration::from_millis(self.index().table().limits.header_timeout_ms)
+    }
+}
+
 /// Counts a request as open until dropped.
 pub(crate) struct OpenRequestGuard {
     shared: Arc<SharedState>,
--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -71,13 +71,14 @@
     }
 }
 
-/// Time limits of a caller's connection.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ConnectionLimits {
-    /// Longest time without a byte before a request.
-    pub(crate) idle: Duration,
-    /// Longest time from the first bytes of a head to its end.
-    pub(crate) head: Duration,
+/// The time limits of callers' connections. Both may change while a connection is
+/// open.
+pub(crate) trait ConnectionLimits: Send + Sync {
+    /// Returns the longest time without a byte before a request.
+    fn idle(&self) -> Duration;
+
+    /// Returns the longest time from the first bytes of a head to its end.
+    fn head(&self) -> Duration;
 }
 
 /// What a connection without an active request waits for.
@@ -91,13 +92,17 @@
 
 /// A caller's connection that ends when it is idle for too long. If a head is not
 /// complete in time, the connection responds with 408 before it ends.
+///
+/// A limit that is raised applies to the current wait, and one that is lowered to
+/// the next: callers may know only one of the two limits.
 pub(crate) struct LimitedStream {
     stream: TcpStream,
-    limits: ConnectionLimits,
+    limits: Arc<dyn ConnectionLimits>,
     sequence: RequestSequence,
     awaited: Awaited,
     /// The sequence at which the wait began. It changes at the end of the head.
     awaited_at: u64,
+    since: Instant,
     /// Expires at the time limit of the wait.
     timer: Pin<Box<Sleep>>,
 }
@@ -105,29 +110,32 @@
 impl LimitedStream {
     pub(crate) fn new(
         stream: TcpStream,
-        limits: ConnectionLimits,
+        limits: Arc<dyn ConnectionLimits>,
         sequence: RequestSequence,
     ) -> Self {
+        let timer = Box::pin(tokio::time::sleep(limits.idle()));
         Self {
             stream,
             limits,
             awaited: Awaited::Request,
             awaited_at: sequence.get(),
             sequence,
-            timer: Box::pin(tokio::time::sleep(limits.idle)),
+            since: Instant::now(),
+            timer,
         }
     }
 
     fn limit(&self) -> Duration {
         match self.awaited {
-            Awaited::Request => self.limits.idle,
-            Awaited::RestOfHead => self.limits.head,
+            Awaited::Request => self.limits.idle(),
+            Awaited::RestOfHead => self.limits.head(),
         }
     }
 
     fn begin_wait(&mut self, awaited: Awaited) {
         self.awaited = awaited;
-        let until = Instant::now() + self.limit();
+        self.since = Instant::now();
+        let until = self.since + self.limit();
         self.timer.as_mut().reset(until);
     }
 
@@ -141,7 +149,14 @@
         if !self.is_waiting() {
             return Poll::Pending;
         }
-        self.timer.as_mut().poll(cx)
+        loop {
+            ready!(self.timer.as_mut().poll(cx));
+            let until = self.since + self.limit();
+            if until <= self.timer.deadline() {
+                return Poll::Ready(());
+            }
+            self.timer.as_mut().reset(until);
+        }
     }
 
     /// Returns whether the socket holds bytes or an error that the runtime has not
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -21,7 +21,7 @@
     context::{OpenRequestGuard, Rejection, RequestContext, SharedState},
     dispatch,
     filters::Chain,
-    limited_stream::{ConnectionLimits, LimitedStream, RequestActiveGuard, RequestSequence},
+    limited_stream::{LimitedStream, RequestActiveGuard, RequestSequence},
     reason::RejectionReason,
 };
 
@@ -74,13 +74,9 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("can't set TCP_NODELAY on a caller's connection: {err}");
     }
-    let limits = shared.index().table().limits;
+    let max_header_bytes = shared.index().table().limits.max_header_bytes;
     let sequence = RequestSequence::default();
-    let connection_limits = ConnectionLimits {
-        idle: Duration::from_millis(limits.idle_timeout_ms),
-        head: Duration::from_millis(limits.header_timeout_ms),
-    };
-    let stream = LimitedStream::new(stream, connection_limits, sequence.clone());
+    let stream = LimitedStream::new(stream, shared.clone(), sequence.clone());
     let service = service_fn(move |request| {
         let (shared, chain) = (shared.clone(), chain.clone());
         let mut active_guard = sequence.begin();
@@ -93,7 +89,7 @@
     let connection = http1::Builder::new()
         // `LimitedStream` has a limit for the head and one for the idle time.
         .header_read_timeout(None)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
