Discard the rest of a request before its connection ends

Cause: callers whose bodies were over the limit got a reset in place of 413, because the connection was closed with unread bytes. Ruled out: reading the whole body before the response, which would delay the refusal.

Change: if a connection ends before all of a request has been read, the sending side is closed and bytes are discarded until the caller closes, for at most two seconds. Idle connections are closed at once, as before.

--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -24,6 +24,11 @@
     time::{Instant, Sleep},
 };
 
+/// Longest time for which the rest of a request is discarded after its response, in
+/// milliseconds.
+const DISCARD_TIMEOUT_MS: u64 = 2_000;
+/// Bytes that are discarded at a time.
+const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
 /// Response to a head that exceeds the time limit. The request has not run.
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -105,6 +110,8 @@
     since: Instant,
     /// Expires at the time limit of the wait.
     timer: Pin<Box<Sleep>>,
+    /// Set when the connection ends before all that the caller sends has been read.
+    discard_until: Option<Instant>,
 }
 
 impl LimitedStream {
@@ -122,6 +129,7 @@
             sequence,
             since: Instant::now(),
             timer,
+            discard_until: None,
         }
     }
 
@@ -166,6 +174,25 @@
         !peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Discards what the caller still sends until it closes the connection. A
+    /// connection that is closed with unread bytes is reset, and the caller may lose
+    /// the response.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut chunk = [0; DISCARD_CHUNK_BYTES];
+        while self
+            .discard_until
+            .is_some_and(|until| Instant::now() < until)
+        {
+            let mut buf = ReadBuf::new(&mut chunk);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                Poll::Ready(ended) => return Poll::Ready(ended),
+                Poll::Pending => return self.timer.as_mut().poll(cx).map(Ok),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Responds to the head that is late, if one has begun.
     fn record_expiry(&self) {
         match self.awaited {
@@ -230,7 +257,18 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.discard_until.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            let idle = this.is_waiting() && this.awaited == Awaited::Request;
+            if idle {
+                return Poll::Ready(Ok(()));
+            }
+            let until = Instant::now() + Duration::from_millis(DISCARD_TIMEOUT_MS);
+            this.timer.as_mut().reset(until);
+            this.discard_until = Some(until);
+        }
+        this.poll_discard(cx)
     }
 
     fn poll_write_vectored(
