Count a request as open until its response has been sent

Cause: responses that were still being sent to slow callers ended when a stopping router's process ended, because their requests no longer counted as open. Ruled out: waiting for connections to close, which idle callers may delay for the whole grace time.

Change: the connection holds a request's guard until the HTTP library has written the whole response to the socket.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -162,21 +162,27 @@
     }
 }
 
-/// Counts a request as open until dropped.
+/// Counts a request as open until it and all its clones are dropped.
+#[derive(Clone)]
 pub(crate) struct OpenRequestGuard {
+    _open: Arc<OpenRequest>,
+}
+
+struct OpenRequest {
     shared: Arc<SharedState>,
 }
 
 impl OpenRequestGuard {
     pub(crate) fn new(shared: &Arc<SharedState>) -> Self {
         shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        let shared = shared.clone();
         Self {
-            shared: shared.clone(),
+            _open: Arc::new(OpenRequest { shared }),
         }
     }
 }
 
-impl Drop for OpenRequestGuard {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -10,7 +10,7 @@
     mem::MaybeUninit,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
@@ -24,6 +24,8 @@
     time::{Instant, Sleep},
 };
 
+use crate::context::OpenRequestGuard;
+
 /// Longest time for which the rest of a request is discarded after its response, in
 /// milliseconds.
 const DISCARD_TIMEOUT_MS: u64 = 2_000;
@@ -33,24 +35,38 @@
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// The number of requests whose heads are complete plus the number of those that
-/// have ended: odd while a request is active.
+/// The progress of the requests of a connection.
 #[derive(Clone, Default)]
-pub(crate) struct RequestSequence(Arc<AtomicU64>);
+pub(crate) struct RequestSequence(Arc<RequestState>);
+
+#[derive(Default)]
+struct RequestState {
+    /// The number of requests whose heads are complete plus the number of those that
+    /// have ended: odd while a request is active.
+    number: AtomicU64,
+    /// The last request, until its response has been sent.
+    unsent: Mutex<Option<OpenRequestGuard>>,
+}
 
 impl RequestSequence {
-    /// Marks a request whose head is complete as active until the guard is
-    /// dropped.
-    pub(crate) fn begin(&self) -> RequestActiveGuard {
-        self.0.fetch_add(1, Ordering::Relaxed);
+    /// Marks a request whose head is complete as active until the guard is dropped,
+    /// and holds `open_guard` until the response has been sent.
+    pub(crate) fn begin(&self, open_guard: OpenRequestGuard) -> RequestActiveGuard {
+        self.0.number.fetch_add(1, Ordering::Relaxed);
         RequestActiveGuard {
             sequence: self.clone(),
             until_close: false,
+            open_guard: Some(open_guard),
         }
     }
 
     fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.0.number.load(Ordering::Relaxed)
+    }
+
+    fn set_unsent(&self, open_guard: Option<OpenRequestGuard>) {
+        let unsent = self.0.unsent.lock();
+        *unsent.unwrap_or_else(PoisonError::into_inner) = open_guard;
     }
 }
 
@@ -58,6 +74,7 @@
 pub(crate) struct RequestActiveGuard {
     sequence: RequestSequence,
     until_close: bool,
+    open_guard: Option<OpenRequestGuard>,
 }
 
 impl RequestActiveGuard {
@@ -70,8 +87,9 @@
 
 impl Drop for RequestActiveGuard {
     fn drop(&mut self) {
+        self.sequence.set_unsent(self.open_guard.take());
         if !self.until_close {
-            self.sequence.0.fetch_add(1, Ordering::Relaxed);
+            self.sequence.0.number.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
@@ -242,6 +260,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
         ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        this.sequence.set_unsent(None);
         let sequence = this.sequence.get();
         let request_active = sequence % 2 == 1;
         if !request_active && !this.is_waiting() {
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -79,9 +79,11 @@
     let stream = LimitedStream::new(stream, shared.clone(), sequence.clone());
     let service = service_fn(move |request| {
         let (shared, chain) = (shared.clone(), chain.clone());
-        let mut active_guard = sequence.begin();
+        let open_guard = OpenRequestGuard::new(&shared);
+        let mut active_guard = sequence.begin(open_guard.clone());
         async move {
-            let response = handle_request(shared, chain, request, &mut active_guard).await;
+            let handled = handle_request(shared, chain, request, open_guard, &mut active_guard);
+            let response = handled.await;
             let guarded = response.map(|body| GuardedBody::new(body, active_guard));
             Ok::<_, Infallible>(guarded)
         }
@@ -110,6 +112,7 @@
     shared: Arc<SharedState>,
     chain: Arc<Chain>,
     request: Request<Incoming>,
+    open_guard: OpenRequestGuard,
     active_guard: &mut RequestActiveGuard,
 ) -> Response<Body> {
     let arrived = Instant::now();
@@ -117,7 +120,7 @@
     let metadata = shared.platform.dialect.decode_request(&parts.headers);
     let mut cx = RequestContext {
         index: shared.index(),
-        _open_guard: OpenRequestGuard::new(&shared),
+        _open_guard: open_guard,
         shared: shared.clone(),
         arrived,
         method: parts.method,
