Ignore empty lines before a head

Cause: callers that send an empty line between requests got 408 and a closed connection one head limit later.

Change: the limit of a head starts at its first byte that is no part of an empty line; until then the idle limit applies.

--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -240,8 +240,11 @@
             return Poll::Ready(Ok(()));
         }
         ready!(read)?;
-        let received = buf.filled().len() > before;
-        if received && this.is_waiting() && this.awaited == Awaited::Request {
+        // A caller may send empty lines before a head (RFC 9112, 2.2).
+        let head_begins = buf.filled()[before..]
+            .iter()
+            .any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if head_begins && this.is_waiting() && this.awaited == Awaited::Request {
             this.begin_wait(Awaited::RestOfHead);
         }
         Poll::Ready(Ok(()))
