Read callers' connections before a stop closes them

Cause: requests that had arrived when a stopping router closed its idle connections were dropped, or were cut off because the process ended during their run. Ruled out: a wait for all connections to close, which slow callers may delay for the whole grace time.

Change: a connection is polled before its stop signal, and the stop checks for open requests only after the connections have had a turn.

Bytes that the runtime hasn't reported when a connection closes are still not read.

--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -95,6 +95,8 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived is read before the connection closes.
+        biased;
         ended = connection.as_mut() => ended,
         () = stopped(&mut stop) => {
             connection.as_mut().graceful_shutdown();
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -302,13 +302,14 @@
     tokio::time::sleep(Duration::from_millis(LAME_DUCK_MS)).await;
     stop_tx.send_replace(true);
     let drain_deadline = deadline - Duration::from_millis(EXIT_RESERVE_MS);
-    while shared.open_requests.load(Ordering::Relaxed) > 0
-        || shared.budgets.has_remote_reservations()
-    {
-        if tokio::time::Instant::now() >= drain_deadline {
+    loop {
+        // Callers' connections are read before the first check.
+        tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        let open = shared.open_requests.load(Ordering::Relaxed) > 0
+            || shared.budgets.has_remote_reservations();
+        if !open || tokio::time::Instant::now() >= drain_deadline {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
     }
     shared
         .budgets
