Show answers that the daemon ends because of a silence

Cause: timers beside sound answers end them: the silence timeout of streams and whole bodies, the longest silence of a key's owner, and the longest wait for a bill.

--- a/crates/peridotslip-daemon/tests/common/fleet.rs
+++ b/crates/peridotslip-daemon/tests/common/fleet.rs
@@ -29,6 +29,8 @@
     pub engines: usize,
     /// Further arguments of the fake engines.
     pub engine_args: Vec<String>,
+    /// Further arguments of the fake service.
+    pub service_args: Vec<String>,
     /// Whether there is a fault proxy between each router and the store.
     pub store_proxies: bool,
     /// Whether there is a fault proxy in front of each engine.
@@ -44,6 +46,7 @@
             routers: 3,
             engines: 2,
             engine_args: vec!["--token-us=2000".to_owned()],
+            service_args: Vec::new(),
             store_proxies: false,
             engine_proxies: false,
             settings: String::new(),
@@ -126,7 +129,9 @@
             fleet.start_engine();
         }
         let service = free_address();
-        fleet.spawn_fake(&["service", "--listen", &service]);
+        let mut args = vec!["service", "--listen", &service];
+        args.extend(options.service_args.iter().map(String::as_str));
+        fleet.spawn_fake(&args);
         fleet.services.push(service);
         fleet.wait_for_store();
         for number in 0..options.routers {
--- a/crates/peridotslip-daemon/tests/common/mod.rs
+++ b/crates/peridotslip-daemon/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod http;
+pub mod scripted;
 pub mod tables;
 
 use std::{
--- /dev/null
+++ b/crates/peridotslip-daemon/tests/silence.rs
@@ -0,0 +1,206 @@
+//! Backend servers and routers that fall silent for a while and go on.
+
+mod common;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::{
+    exclusive,
+    fleet::{Fleet, FleetOptions, number},
+    http::{block_on, send},
+    scripted::{Part, ScriptedServer},
+    tables::{MUSCAT_KEY, TableOptions},
+};
+use reqwest::{Client, Method, RequestBuilder};
+use serde_json::json;
+
+/// A silence several times as long as all silence timeouts of the tests.
+const LONG_SILENCE: Duration = Duration::from_millis(2_500);
+
+fn options(silence_timeout_ms: u64) -> FleetOptions {
+    FleetOptions {
+        routers: 1,
+        engines: 1,
+        settings: format!("backends: {{silence_timeout_ms: {silence_timeout_ms}}}\n"),
+        ..FleetOptions::default()
+    }
+}
+
+fn request(fleet: &Fleet, method: Method, path: &str) -> RequestBuilder {
+    let url = format!("http://{}{path}", fleet.routers[0].callers);
+    Client::new().request(method, url).bearer_auth(MUSCAT_KEY)
+}
+
+fn stream_request(fleet: &Fleet, max_tokens: u64) -> RequestBuilder {
+    let body =
+        json!({ "model": "tagline", "stream": true, "messages": [], "max_tokens": max_tokens });
+    request(fleet, Method::POST, "/v1/chat/completions").json(&body)
+}
+
+/// Sends a request; returns the status and the whole body, or nothing if the
+/// response ended early.
+fn whole_text(request: RequestBuilder) -> Option<(u16, String)> {
+    block_on(async {
+        let response = request.send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.text().await.ok()?))
+    })
+}
+
+fn event(text: &str) -> String {
+    format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
+}
+
+/// Returns the parts of a stream with a long silence after its first event.
+fn stream_with_a_silence() -> [Part; 2] {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+    let usage = "data: {\"choices\":[],\"usage\":{\"total_tokens\":7}}\n\ndata: [DONE]\n\n";
+    [
+        (Duration::ZERO, format!("{head}{}", event("first"))),
+        (LONG_SILENCE, format!("{}{usage}", event("second"))),
+    ]
+}
+
+/// Guards against dropping the connection of a silent stream before another
+/// connection delivers.
+#[test]
+fn silent_stream_of_a_server_that_cannot_resume_it_goes_on() {
+    let _exclusive = exclusive();
+    let server = ScriptedServer::spawn(&stream_with_a_silence());
+    let mut fleet = Fleet::start(&options(200));
+    fleet.engines = vec![server.address.clone()];
+    fleet.apply(&TableOptions::default());
+
+    let answer = whole_text(stream_request(&fleet, 5));
+
+    let (status, text) = answer.expect("the stream is whole");
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(text.matches("\"content\"").count(), 2, "{text}");
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    assert_eq!(server.runs(), 1);
+    assert_eq!(fleet.settled_totals().settled, 7);
+}
+
+/// Guards against a count of silences over a whole stream, which ends a long
+/// stream that goes on after each of them.
+#[test]
+fn stream_with_many_silences_is_answered_whole_and_billed_once() {
+    let _exclusive = exclusive();
+    let fleet = Fleet::start(&FleetOptions {
+        engine_args: ["--full-length", "--pause-every=5", "--pause-ms=500"]
+            .map(str::to_owned)
+            .to_vec(),
+        ..options(200)
+    });
+
+    let report = fleet.load(&[
+        "--model=tagline",
+        "--stream",
+        "--count=5",
+        "--rate=100",
+        "--max-tokens=50",
+    ]);
+
+    assert_eq!(number(&report, "answered"), 5, "{report}");
+    assert_eq!(fleet.engine_stat("started"), 5);
+    assert_eq!(fleet.settled_totals().settled, number(&report, "tokens"));
+}
+
+/// Guards against ending a stream that hasn't begun before its deadline.
+#[test]
+fn engine_silent_before_its_first_event_has_until_the_deadline() {
+    let _exclusive = exclusive();
+    let fleet = Fleet::start(&FleetOptions {
+        engine_args: vec!["--prefill-us=250000".to_owned(), "--full-length".to_owned()],
+        ..options(200)
+    });
+    let sent_at = Instant::now();
+
+    let answer = whole_text(stream_request(&fleet, 5));
+
+    let (status, text) = answer.expect("the stream is whole");
+    assert_eq!(status, 200, "{text}");
+    assert!(sent_at.elapsed() > LONG_SILENCE, "{:?}", sent_at.elapsed());
+    assert_eq!(fleet.engine_stat("started"), 1);
+}
+
+/// Guards against ending a whole response before its deadline because its body
+/// pauses: work that ran would be lost or run again.
+#[test]
+fn whole_response_with_a_silence_in_its_body_is_delivered_and_run_once() {
+    let _exclusive = exclusive();
+    let head = "HTTP/1.1 201 Created\r\ncontent-length: 10\r\nconnection: close\r\n\r\n12345";
+    let parts = [
+        (Duration::ZERO, head.to_owned()),
+        (LONG_SILENCE, "67890".to_owned()),
+    ];
+    let mut fleet = Fleet::start(&options(200));
+    for (method, path) in [(Method::POST, "/orders"), (Method::GET, "/status")] {
+        let server = ScriptedServer::spawn(&parts);
+        fleet.services = vec![server.address.clone()];
+        fleet.apply(&TableOptions::default());
+
+        let request = request(&fleet, method, path).header("idempotency-key", path);
+        let answer = whole_text(request);
+
+        assert_eq!(answer, Some((201, "1234567890".to_owned())), "{path}");
+        assert_eq!(server.runs(), 1, "{path}");
+    }
+}
+
+/// Guards against taking the silence of a key's owner for its failure: a
+/// non-idempotent request that only the owner may run is answered by the owner.
+#[test]
+fn owner_that_falls_silent_for_seconds_still_answers_its_requests() {
+    let _exclusive = exclusive();
+    let fleet = Fleet::start(&FleetOptions {
+        service_args: vec!["--work-ms=2000".to_owned()],
+        ..FleetOptions::default()
+    });
+    let orders: Vec<_> = (0..12)
+        .map(|number| {
+            let order = request(&fleet, Method::POST, "/orders")
+                .header("idempotency-key", format!("order-{number}"))
+                .body("{}");
+            thread::spawn(move || send(order))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+
+    fleet.signal(2, "STOP");
+    thread::sleep(Duration::from_millis(4_500));
+    fleet.signal(2, "CONT");
+
+    for order in orders {
+        let answer = order.join().expect("the order is answered");
+        assert_eq!(answer.status, 201, "{}", answer.body);
+    }
+    assert_eq!(fleet.run_counts(), vec![1; 12]);
+}
+
+/// Guards against withholding a ready response for ever because its bill became
+/// durable late, though before the request's deadline.
+#[test]
+fn response_whose_bill_is_late_is_delivered_before_the_deadline() {
+    let _exclusive = exclusive();
+    let fleet = Fleet::start(&options(200));
+    let warm = fleet.load(&["--model=tagline", "--count=20", "--rate=100"]);
+    assert_eq!(number(&warm, "answered"), 20, "{warm}");
+    fleet.settled_totals();
+    let body = json!({ "model": "tagline", "messages": [], "max_tokens": 5 });
+    let late = request(&fleet, Method::POST, "/v1/chat/completions").json(&body);
+
+    fleet.store_faults(&json!({ "down": true }));
+    let late = thread::spawn(move || send(late));
+    thread::sleep(Duration::from_secs(12));
+    fleet.store_faults(&json!({}));
+
+    let answer = late.join().expect("the request is answered");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let tokens =
+        number(&warm, "tokens") + answer.body["usage"]["total_tokens"].as_u64().unwrap_or(0);
+    assert_eq!(fleet.settled_totals().settled, tokens);
+}
--- a/crates/peridotslip-standins/src/engine.rs
+++ b/crates/peridotslip-standins/src/engine.rs
@@ -53,6 +53,13 @@
     /// Delay of load reports and cache events
     #[bpaf(argument("MS"), fallback(300))]
     lag_ms: u64,
+    /// Number of tokens after which a request pauses, again and again; 0 never
+    /// pauses
+    #[bpaf(argument("N"), fallback(0))]
+    pause_every: u64,
+    /// Length of each pause
+    #[bpaf(argument("MS"), fallback(0))]
+    pause_ms: u64,
     /// Generate `max_tokens` tokens for every request
     full_length: bool,
 }
--- a/crates/peridotslip-standins/src/engine/batch.rs
+++ b/crates/peridotslip-standins/src/engine/batch.rs
@@ -179,6 +179,26 @@
     generation: Arc<Generation>,
     /// Remaining prefill time, in microseconds.
     prefill_us: u64,
+    /// Until when the request emits nothing, if it pauses.
+    paused_until: Option<Instant>,
+}
+
+impl Running {
+    /// Returns whether the request pauses now, and starts a pause if one is due
+    /// after the tokens emitted so far.
+    fn is_paused(&mut self, options: &Options) -> bool {
+        let emitted = self.generation.progress().emitted;
+        if emitted == 0 || !emitted.is_multiple_of(options.pause_every) {
+            return false;
+        }
+        let pause = Duration::from_millis(options.pause_ms);
+        let until = *self.paused_until.get_or_insert(Instant::now() + pause);
+        if Instant::now() < until {
+            return true;
+        }
+        self.paused_until = None;
+        false
+    }
 }
 
 #[derive(Default)]
@@ -313,6 +333,9 @@
                 return true;
             }
             running.prefill_us = 0;
+            if running.is_paused(&self.options) {
+                return true;
+            }
             emitted += 1;
             let orphan = running.generation.is_orphan();
             if orphan {
@@ -355,6 +378,7 @@
             self.running.push(Running {
                 generation,
                 prefill_us,
+                paused_until: None,
             });
         }
     }
