Keep a silent stream until another connection delivers

Cause: a stream that was silent for silence_timeout_ms lost its connection before the resumption had delivered anything, and a sixth silence in the whole stream, or six in a row before its first event, ended it with a failure. A server that pauses and goes on, above all one that cannot resume, was cut off.

Change: the connections of a stream are a type of their own. After a silence a resumption runs beside the silent connection at the same server, which joins it to the same run; the one that delivers first serves and the other is dropped. Resumes are counted since the last progress, not over the stream. A stream that has not begun ends at its deadline; one that has begun fails when its server is silent for six timeouts and at least the deadline of its route.

--- a/crates/peridotslip-daemon/src/filters/dispatch.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch.rs
@@ -4,6 +4,7 @@
 //! or is idempotent.
 
 mod buffered;
+mod connections;
 mod stream;
 
 use std::time::{Duration, Instant};
--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -4,12 +4,10 @@
 
 use axum::http::HeaderValue;
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
-use peridotslip::events::EventFramer;
 use peridotslip::{balance::CallOutcome, prelude::*};
 use reqwest::Response;
 
-use super::AttemptResult;
+use super::{AttemptResult, connections::Connections};
 use crate::{
     backend::{
         forward,
@@ -21,22 +19,15 @@
     response::ResponseHead,
 };
 
-/// Maximum number of resume attempts for one stream.
-const MAX_RESUMES: u32 = 5;
-/// Pause before a resume, in milliseconds, for each earlier resume of the
-/// stream; the first resume follows at once.
-const RESUME_PAUSE_MS: u64 = 100;
 /// Timeout of a cancellation at an engine, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 2_000;
 
-/// Why reading from a connection ended.
-enum ReadOutcome {
+/// Why relaying a stream ended.
+enum RelayOutcome {
     /// The end mark was received.
     Done,
-    /// The connection failed or ended early.
-    ConnectionLost,
-    /// No data arrived within the silence timeout.
-    Silent,
+    /// All connections failed, or the server was silent for too long.
+    Failed,
     /// The caller disconnected.
     Abandoned,
     /// The engine sent more events than the request allows.
@@ -57,8 +48,15 @@
     usage: Option<u64>,
 }
 
+impl StreamProgress {
+    /// Returns the number of content and usage events received.
+    fn received(&self) -> u64 {
+        self.content_events + u64::from(self.usage.is_some())
+    }
+}
+
 /// Relays a stream, and resumes it at its engine if the connection fails or
-/// goes silent.
+/// is silent.
 pub(super) async fn relay(
     cx: &mut RequestContext,
     guard: InFlightGuard,
@@ -95,71 +93,53 @@
     relay_with_resume(cx, guard, None, progress).await.map(drop)
 }
 
-/// Relays the stream, opening further connections until the end mark.
+/// Relays the stream until its end mark, and bills it.
 async fn relay_with_resume(
     cx: &mut RequestContext,
     guard: InFlightGuard,
     first: Option<Response>,
     mut progress: StreamProgress,
 ) -> Result<AttemptResult> {
-    let mut connection = first;
-    let mut resumes = 0;
-    loop {
-        let outcome = match connection.take() {
-            Some(response) => read(cx, response, &mut progress).await,
-            None => ReadOutcome::ConnectionLost,
-        };
-        let reason = match outcome {
-            ReadOutcome::Done => return Ok(complete(cx, guard, &progress)),
-            ReadOutcome::Abandoned => return cancel(cx, guard).await,
-            ReadOutcome::Overrun => return abort_overrun(cx, guard),
-            ReadOutcome::DeadlineExceeded => return abort_late(cx, guard),
-            ReadOutcome::ConnectionLost => RetryReason::StreamResumed,
-            ReadOutcome::Silent => RetryReason::StreamSilent,
-        };
-        if resumes == MAX_RESUMES {
-            return fail_stream(cx, guard);
-        }
-        tokio::time::sleep(Duration::from_millis(RESUME_PAUSE_MS * u64::from(resumes))).await;
-        resumes += 1;
-        cx.shared.metrics.retried(reason);
-        connection = resume(cx, &guard.server, progress.content_events).await;
+    let connections = Connections::open(cx, &guard.server, first);
+    match relay_events(cx, connections, &mut progress).await {
+        RelayOutcome::Done => Ok(complete(cx, guard, &progress)),
+        RelayOutcome::Failed => fail_stream(cx, guard),
+        RelayOutcome::Abandoned => cancel(cx, guard).await,
+        RelayOutcome::Overrun => abort_overrun(cx, guard),
+        RelayOutcome::DeadlineExceeded => abort_late(cx, guard),
     }
 }
 
-/// Relays the events of one connection until it ends.
-async fn read(
+/// Relays the events of the stream's connections.
+async fn relay_events(
     cx: &RequestContext,
-    response: Response,
+    mut connections: Connections,
     progress: &mut StreamProgress,
-) -> ReadOutcome {
-    let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
+) -> RelayOutcome {
     let max_events = cx.completion.map_or(u64::MAX, |params| {
         // An engine may send an extra first event with the role and an extra
         // last one with the finish reason.
         params.max_tokens + 2
     });
-    let mut framer = EventFramer::default();
-    let mut stream = response.bytes_stream();
     let keyed = cx.idempotency_key.is_some();
     let deadline = super::deadline(cx);
     loop {
         let begun = progress.head.is_none();
-        let bytes = tokio::select! {
-            next = tokio::time::timeout(silence, stream.next()) => match next {
-                Ok(Some(Ok(bytes))) => bytes,
-                Ok(_) => return ReadOutcome::ConnectionLost,
-                Err(_) => return ReadOutcome::Silent,
+        let before = progress.received();
+        let events = tokio::select! {
+            events = connections.next(progress.content_events) => match events {
+                Some(events) => events,
+                None => return RelayOutcome::Failed,
             },
-            () = cx.response.readers_gone(Duration::ZERO), if !keyed => return ReadOutcome::Abandoned,
-            () = tokio::time::sleep_until(deadline.into()), if !begun => return ReadOutcome::DeadlineExceeded,
+            () = cx.response.readers_gone(Duration::ZERO), if !keyed => return RelayOutcome::Abandoned,
+            () = tokio::time::sleep_until(deadline.into()), if !begun => return RelayOutcome::DeadlineExceeded,
         };
-        if framer.push(&bytes).is_err() {
-            return ReadOutcome::ConnectionLost;
-        }
-        let (chunk, done) = take_events(&mut framer, progress);
+        let (chunk, done) = take_events(events, progress);
         if progress.content_events > max_events {
-            return ReadOutcome::Overrun;
+            return RelayOutcome::Overrun;
+        }
+        if progress.received() > before {
+            connections.record_progress();
         }
         if let Some(head) = progress.head.take_if(|_| done || !chunk.is_empty()) {
             cx.record_first_byte();
@@ -169,17 +149,17 @@
             cx.response.push(chunk).await;
         }
         if done {
-            return ReadOutcome::Done;
+            return RelayOutcome::Done;
         }
     }
 }
 
 /// Returns the complete events, without the end mark, as one chunk, and
 /// whether the end mark was among them.
-fn take_events(framer: &mut EventFramer, progress: &mut StreamProgress) -> (Bytes, bool) {
+fn take_events(received: Vec<Bytes>, progress: &mut StreamProgress) -> (Bytes, bool) {
     let mut events: Vec<Bytes> = Vec::new();
     let mut done = false;
-    while let Some(event) = framer.next_event() {
+    for event in received {
         match sse::classify(&event) {
             EventKind::Done => {
                 done = true;
@@ -261,18 +241,6 @@
     Rejection::unknown(Refusal::BackendFailed)
 }
 
-async fn resume(cx: &RequestContext, server: &str, from: u64) -> Option<Response> {
-    let url = format!(
-        "http://{server}/v1/streams/{}?from={from}",
-        cx.backend_request_id()
-    );
-    let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
-    let client = cx.shared.controllers.backends.unpooled_client();
-    let response = tokio::time::timeout(silence, client.get(url).send()).await;
-    let response = response.ok()?.ok()?;
-    response.status().is_success().then_some(response)
-}
-
 /// Cancels the request of a caller that disconnected, and bills the tokens
 /// used.
 pub(super) async fn cancel(cx: &mut RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -185,7 +185,8 @@
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct BackendSettings {
     pub(crate) connect_timeout_ms: u64,
-    /// Maximum time without data within a stream, in milliseconds.
+    /// Silence of a stream after which another connection resumes it beside the
+    /// silent one, in milliseconds.
     pub(crate) silence_timeout_ms: u64,
     /// Interval at which the load of each model engine is polled, in milliseconds.
     pub(crate) load_poll_ms: u64,
