Wait for a silent whole response until its deadline

Cause: the body of a whole response was given up after silence_timeout_ms without data, whatever its deadline: a non-idempotent request that ran got 502 with an unknown result, an idempotent one was run again at another server. Ruled out: the limit of the size and the connection, which stayed open.

Change: silence ends a body only once the deadline has passed too. It costs that an idempotent request whose server is lost within a body, without a reset, fails at its deadline and is not sent to another server before.

--- a/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use peridotslip::{balance::CallOutcome, prelude::*};
 use reqwest::Response;
+use tokio::time::{Instant, timeout_at};
 
 use super::{AttemptResult, retry_if_idempotent, stream};
 use crate::{
@@ -27,11 +28,12 @@
     let headers = forward::response_headers(response.headers());
     let limit = cx.shared.settings.limits.max_answer_bytes;
     let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
+    let deadline = super::deadline(cx).into();
     cx.record_first_byte();
     let keyed = cx.idempotency_key.is_some();
     let buffer = cx.response.clone();
     let body = tokio::select! {
-        body = read(response, limit, silence) => body,
+        body = read(response, limit, silence, deadline) => body,
         () = buffer.readers_gone(Duration::ZERO), if !keyed => {
             return stream::cancel(cx, guard).await;
         }
@@ -53,18 +55,27 @@
     Ok(AttemptResult::Answered)
 }
 
-/// Reads a whole body. Returns `None` if the connection fails, no data arrives
-/// for `silence`, or the body is longer than `limit` bytes.
-async fn read(response: Response, limit: usize, silence: Duration) -> Option<Bytes> {
+/// Reads a whole body. Returns `None` if the connection fails, the body is
+/// longer than `limit` bytes, or no data arrives for `silence` and until the
+/// deadline.
+async fn read(
+    response: Response,
+    limit: usize,
+    silence: Duration,
+    deadline: Instant,
+) -> Option<Bytes> {
     let mut stream = response.bytes_stream();
     let mut buf = BytesMut::new();
-    while let Some(chunk) = tokio::time::timeout(silence, stream.next()).await.ok()? {
+    loop {
+        let until = deadline.max(Instant::now() + silence);
+        let Some(chunk) = timeout_at(until, stream.next()).await.ok()? else {
+            return Some(buf.freeze());
+        };
         buf.extend_from_slice(&chunk.ok()?);
         if buf.len() > limit {
             return None;
         }
     }
-    Some(buf.freeze())
 }
 
 /// Returns the cost of a response in tokens: the usage that the engine
--- a/crates/peridotslip-daemon/src/settings.rs
+++ b/crates/peridotslip-daemon/src/settings.rs
@@ -186,7 +186,8 @@
 pub(crate) struct BackendSettings {
     pub(crate) connect_timeout_ms: u64,
     /// Silence of a stream after which another connection resumes it beside the
-    /// silent one, in milliseconds.
+    /// silent one, and of a whole response after which it fails once its
+    /// deadline has passed, in milliseconds.
     pub(crate) silence_timeout_ms: u64,
     /// Interval at which the load of each model engine is polled, in milliseconds.
     pub(crate) load_poll_ms: u64,
