Take the response of an owner that was silent for a while

Cause: a router that forwarded a request to its key's owner took 3 s without a frame for the end of the owner, dropped the stream, and ran the request itself. The claim of a non-idempotent request forbids that, so the caller got 409 outcome-unknown although the owner, frozen for 4.5 s, still had the response. The connection of a forwarded response that timed out also stayed in use, so that each later request waited 3 s for the same dead connection. Ruled out: the service, which ran each order once, and the route's deadline of 20 s.

Change: the silent stream is kept while this router runs the request or resumes the stream. If that fails, this router holds no claim, and the caller got nothing further, the owner's response is awaited until the deadline. A response that this router can't continue is awaited at once. Any error of a forwarded response makes the next call open a new connection.

--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -1,6 +1,9 @@
 //! Request state that is passed through the filter chain.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use axum::http::{HeaderMap, Method, Uri};
 use bytes::Bytes;
@@ -163,6 +166,11 @@
             .expect("the route filter has run")
     }
 
+    /// Returns the time by which the response must begin.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.received_at + Duration::from_millis(self.resolved_route().route.deadline_ms)
+    }
+
     /// Records the latency of the first byte of the response, which is
     /// available now.
     pub(crate) fn record_first_byte(&self) {
--- a/crates/peridotslip-daemon/src/filters/dedupe.rs
+++ b/crates/peridotslip-daemon/src/filters/dedupe.rs
@@ -5,9 +5,10 @@
 //! requests. If the owner is unreachable, the router that received the request
 //! runs it: an idempotent request is still billed only once, and the ledger's
 //! claim on the key prevents a second execution of a non-idempotent
-//! request.
+//! request. The response of an owner that is only silent is still taken if this
+//! router has none.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use async_trait::async_trait;
 use peridotslip::events::EventFramer;
@@ -20,7 +21,7 @@
     context::{
         ACCEPTS_SERVER_FRAME_HEADER, REQUEST_ID_HEADER, RequestContext, STREAM_SERVER_HEADER,
     },
-    peer::{self, ForwardedRequest, ResponseFrame, header_pairs},
+    peer::{self, ForwardedRequest, ForwardedResponse, ResponseFrame, header_pairs},
     problem::{Rejection, Result},
     response::{ResponseBuffer, ResponseHead},
 };
@@ -33,24 +34,30 @@
         let Some(key) = cx.idempotency_key else {
             return next.call(cx).await;
         };
+        let mut silent_owner = None;
         if let Some(owner) = remote_owner(cx, key) {
             match forward(cx, &owner).await {
                 ForwardOutcome::Finished(result) => {
                     cx.answered_by_owner = true;
                     return result;
                 }
-                ForwardOutcome::OwnerUnreachable => {
-                    cx.shared.controllers.members.mark_unreachable(&owner).await;
-                    cx.shared.metrics.event("home-unreachable", 1);
-                }
+                ForwardOutcome::OwnerUnreachable => {}
+                ForwardOutcome::OwnerSilent(response) => silent_owner = Some(response),
             }
+            cx.shared.controllers.members.mark_unreachable(&owner).await;
+            cx.shared.metrics.event("home-unreachable", 1);
         }
         let dedupe = cx.shared.controllers.dedupe.clone();
         match dedupe.begin(key, cx.fingerprint, &cx.response) {
             DedupeDecision::KeyReused => Err(Rejection::not_run(Refusal::KeyReused)),
             DedupeDecision::Follow(response) => copy_response(&response, &cx.response).await,
             DedupeDecision::Execute => {
-                let result = next.call(cx).await;
+                let mut result = next.call(cx).await;
+                if let (Err(rejection), Some(owner)) = (&result, silent_owner)
+                    && owner.may_replace(cx, rejection)
+                {
+                    result = owner.wait(cx, rejection.clone()).await;
+                }
                 if result.is_ok() && cx.failover_stream.is_none() {
                     dedupe.finish(key, cx.response.bytes(), clock::monotonic_ms());
                 } else {
@@ -80,6 +87,9 @@
     /// The owner failed before the response head, or within a stream that this
     /// router can resume.
     OwnerUnreachable,
+    /// The owner is silent, and may still go on with its response. This router
+    /// can run the request or resume the stream meanwhile.
+    OwnerSilent(Box<SilentOwner>),
 }
 
 /// Forwards the request to the owner and relays its response.
@@ -93,35 +103,93 @@
         headers,
         body: incoming.body.to_vec(),
     };
-    let Ok(mut forwarded) = cx.shared.controllers.peers.forward(owner, &request).await else {
-        return ForwardOutcome::OwnerUnreachable;
-    };
+    let mut forwarded = cx.shared.controllers.peers.forward(owner, &request);
     let mut relayed = RelayedResponse::default();
     loop {
         match forwarded.next().await {
-            Ok(ResponseFrame::End) => return ForwardOutcome::Finished(Ok(())),
-            Ok(ResponseFrame::Rejected {
-                reason,
-                execution,
-                retry_after_s,
-            }) => {
-                return ForwardOutcome::Finished(Err(decode_rejection(
-                    &reason,
-                    &execution,
-                    retry_after_s,
-                )));
+            Ok(frame) => {
+                if let Some(result) = relayed.relay(cx, frame).await {
+                    return ForwardOutcome::Finished(result);
+                }
             }
-            Ok(ResponseFrame::Aborted) => {
-                let rejection = Rejection::unknown(Refusal::BackendFailed);
-                return ForwardOutcome::Finished(Err(rejection));
+            Err(peer::Error::Timeout(_)) if relayed.set_failover(cx) => {
+                let written = Written::of(cx);
+                let owner = SilentOwner {
+                    forwarded,
+                    relayed,
+                    written,
+                };
+                return ForwardOutcome::OwnerSilent(Box::new(owner));
             }
-            Ok(ResponseFrame::Server(server)) => relayed.attempted_server = Some(server),
-            Ok(frame) => relayed.relay(cx, frame).await,
+            Err(peer::Error::Timeout(_)) if Instant::now() < cx.deadline() => {}
             Err(err) => return relayed.owner_lost(cx, &err),
         }
     }
 }
 
+/// How much of a response its caller can read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Written {
+    has_head: bool,
+    bytes: usize,
+}
+
+impl Written {
+    fn of(cx: &RequestContext) -> Self {
+        Self {
+            has_head: cx.response.has_head(),
+            bytes: cx.response.bytes(),
+        }
+    }
+}
+
+/// An owner that fell silent within its response, while this router runs the
+/// request or resumes the stream.
+struct SilentOwner {
+    forwarded: ForwardedResponse,
+    relayed: RelayedResponse,
+    /// What the caller had when the owner fell silent.
+    written: Written,
+}
+
+impl SilentOwner {
+    /// Returns whether the owner's response may replace this router's
+    /// rejection. It can't if this router holds the claim or if the request
+    /// differs from the one that the owner runs, nor if it would repeat a part
+    /// of the response.
+    fn may_replace(&self, cx: &RequestContext, rejection: &Rejection) -> bool {
+        let is_final = cx.holds_claim || rejection.refusal == Refusal::KeyReused;
+        !is_final && Written::of(cx) == self.written
+    }
+
+    /// Relays the rest of the owner's response, which must begin by the
+    /// deadline. Otherwise the caller gets `rejection`.
+    async fn wait(
+        mut self: Box<Self>,
+        cx: &mut RequestContext,
+        rejection: Rejection,
+    ) -> Result<()> {
+        let deadline = cx.deadline();
+        loop {
+            let begun = cx.response.has_head();
+            let frame = tokio::select! {
+                frame = self.forwarded.next() => frame,
+                () = tokio::time::sleep_until(deadline.into()), if !begun => return Err(rejection),
+            };
+            match frame {
+                Ok(frame) => {
+                    if let Some(result) = self.relayed.relay(cx, frame).await {
+                        cx.answered_by_owner = true;
+                        return result;
+                    }
+                }
+                Err(peer::Error::Timeout(_)) if !begun => {}
+                Err(_) => return Err(rejection),
+            }
+        }
+    }
+}
+
 /// The part of the owner's response that the caller already has.
 #[derive(Default)]
 struct RelayedResponse {
@@ -135,7 +203,8 @@
 }
 
 impl RelayedResponse {
-    async fn relay(&mut self, cx: &RequestContext, frame: ResponseFrame) {
+    /// Relays a frame to the caller. Returns the result after the last one.
+    async fn relay(&mut self, cx: &RequestContext, frame: ResponseFrame) -> Option<Result<()>> {
         match frame {
             ResponseFrame::Head { status, headers } => {
                 let head = self.take_head(status, headers);
@@ -145,8 +214,19 @@
                 self.count_events(&chunk);
                 cx.response.push(chunk.into()).await;
             }
-            _ => {}
+            ResponseFrame::Server(server) => self.attempted_server = Some(server),
+            ResponseFrame::Heartbeat => {}
+            ResponseFrame::End => return Some(Ok(())),
+            ResponseFrame::Aborted => {
+                return Some(Err(Rejection::unknown(Refusal::BackendFailed)));
+            }
+            ResponseFrame::Rejected {
+                reason,
+                execution,
+                retry_after_s,
+            } => return Some(Err(decode_rejection(&reason, &execution, retry_after_s))),
         }
+        None
     }
 
     fn take_head(&mut self, status: u16, headers: Vec<(String, Vec<u8>)>) -> ResponseHead {
@@ -170,23 +250,31 @@
         }
     }
 
-    /// Selects the outcome after the owner became unreachable. A request
-    /// without a response head is run by this router, first at the server to
-    /// which the owner sent it, so that it does not run twice. A stream is
-    /// resumed at its engine, unless its usage is already relayed. Any other
-    /// response fails.
-    fn owner_lost(self, cx: &mut RequestContext, err: &peer::Error) -> ForwardOutcome {
+    /// Selects the outcome after the owner became unreachable. A response that
+    /// this router can't continue fails.
+    fn owner_lost(&self, cx: &mut RequestContext, err: &peer::Error) -> ForwardOutcome {
         log::warn!(request = cx.id.as_str(); "owner of the idempotency key failed before the end of its response: {err}");
-        if !cx.response.has_head() {
-            cx.failover_server = self.attempted_server;
+        if self.set_failover(cx) {
             return ForwardOutcome::OwnerUnreachable;
         }
-        match self.server {
+        ForwardOutcome::Finished(Err(Rejection::unknown(Refusal::BackendFailed)))
+    }
+
+    /// Prepares this router to continue the response, and returns whether it
+    /// can. A request without a response head is run first at the server to
+    /// which the owner sent it, so that it does not run twice. A stream is
+    /// resumed at its engine, unless its usage is already relayed.
+    fn set_failover(&self, cx: &mut RequestContext) -> bool {
+        if !cx.response.has_head() {
+            cx.failover_server.clone_from(&self.attempted_server);
+            return true;
+        }
+        match &self.server {
             Some(server) if !self.usage_seen => {
-                cx.failover_stream = Some((server, self.content_events));
-                ForwardOutcome::OwnerUnreachable
+                cx.failover_stream = Some((server.clone(), self.content_events));
+                true
             }
-            _ => ForwardOutcome::Finished(Err(Rejection::unknown(Refusal::BackendFailed))),
+            _ => false,
         }
     }
 }
--- a/crates/peridotslip-daemon/src/filters/dispatch.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch.rs
@@ -106,11 +106,6 @@
     xxhash_rust::xxh3::xxh3_64(&body[..body.len().min(AFFINITY_BYTES)])
 }
 
-/// Returns the time by which the response must begin.
-fn deadline(cx: &RequestContext) -> Instant {
-    cx.received_at + Duration::from_millis(cx.resolved_route().route.deadline_ms)
-}
-
 async fn attempt(cx: &mut RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
     let idempotent = cx.resolved_route().route.idempotent;
     let client = cx.shared.controllers.backends.client_for(idempotent);
@@ -119,7 +114,7 @@
     let response = cx.response.clone();
     cx.sent_at = Instant::now();
     let sent = tokio::select! {
-        sent = tokio::time::timeout_at(deadline(cx).into(), request.send()) => sent,
+        sent = tokio::time::timeout_at(cx.deadline().into(), request.send()) => sent,
         () = response.readers_gone(Duration::ZERO), if !keyed => {
             return stream::cancel(cx, guard).await;
         }
--- a/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
@@ -28,7 +28,7 @@
     let headers = forward::response_headers(response.headers());
     let limit = cx.shared.settings.limits.max_answer_bytes;
     let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
-    let deadline = super::deadline(cx).into();
+    let deadline = cx.deadline().into();
     cx.record_first_byte();
     let keyed = cx.idempotency_key.is_some();
     let buffer = cx.response.clone();
--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -122,7 +122,7 @@
         params.max_tokens + 2
     });
     let keyed = cx.idempotency_key.is_some();
-    let deadline = super::deadline(cx);
+    let deadline = cx.deadline();
     loop {
         let begun = progress.head.is_none();
         let before = progress.received();
--- a/crates/peridotslip-daemon/src/peer.rs
+++ b/crates/peridotslip-daemon/src/peer.rs
@@ -12,7 +12,7 @@
 use quick_error::quick_error;
 
 pub(crate) use self::{
-    client::PeerClient,
+    client::{ForwardedResponse, PeerClient},
     frames::ResponseFrame,
     server::{decode_head, header_pairs, serve},
     wire::{ForwardedRequest, PeerRequest, PeerResponse},
--- a/crates/peridotslip-daemon/src/peer/client.rs
+++ b/crates/peridotslip-daemon/src/peer/client.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use h2::{RecvStream, client::SendRequest};
 use http::Request;
 use tokio::net::TcpStream;
@@ -79,30 +80,18 @@
         wire::decode(&buf).ok_or_else(interrupted)
     }
 
-    /// Forwards a caller's request to the router at `address`. Returns once the
-    /// router has started to execute the request.
-    pub(crate) async fn forward(
-        &self,
-        address: &str,
-        request: &ForwardedRequest,
-    ) -> Result<ForwardedResponse> {
+    /// Forwards a caller's request to the router at `address` and returns the
+    /// response, of which nothing may have arrived yet.
+    pub(crate) fn forward(&self, address: &str, request: &ForwardedRequest) -> ForwardedResponse {
+        let (client, to) = (self.clone(), address.to_owned());
         let body = wire::encode(request).into();
-        let sent = self.send_request(address, FORWARD_PATH, body);
-        let silence = Duration::from_millis(FORWARD_SILENCE_MS);
-        match tokio::time::timeout(silence, sent).await {
-            Ok(Ok(stream)) => Ok(ForwardedResponse {
-                address: address.to_owned(),
-                stream,
-                decoder: FrameDecoder::default(),
-            }),
-            Ok(Err(err)) => {
-                self.disconnect(address);
-                Err(err)
-            }
-            Err(_) => {
-                self.disconnect(address);
-                Err(Error::Timeout(address.to_owned()))
-            }
+        ForwardedResponse {
+            client: self.clone(),
+            address: address.to_owned(),
+            stream: ForwardedStream::Opening(Box::pin(async move {
+                client.send_request(&to, FORWARD_PATH, body).await
+            })),
+            decoder: FrameDecoder::default(),
         }
     }
 
@@ -177,29 +166,60 @@
     }
 }
 
+/// The stream of a response, before and after the router accepts the request.
+enum ForwardedStream {
+    Opening(BoxFuture<'static, Result<RecvStream>>),
+    Open(RecvStream),
+}
+
 /// The response to a forwarded request, streamed by the executing router.
 pub(crate) struct ForwardedResponse {
+    client: PeerClient,
     address: String,
-    stream: RecvStream,
+    stream: ForwardedStream,
     decoder: FrameDecoder,
 }
 
 impl ForwardedResponse {
-    /// Returns the next frame that is not a heartbeat.
+    /// Returns the next frame that is not a heartbeat. This method is cancel
+    /// safe, and can be called again after a timeout: the router may go on.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Timeout`] if the router is silent. After any error the next
+    /// call to the router opens a new connection.
     pub(crate) async fn next(&mut self) -> Result<ResponseFrame> {
         let silence = Duration::from_millis(FORWARD_SILENCE_MS);
         loop {
-            let interrupted = || Error::Interrupted(self.address.clone());
-            match self.decoder.next().map_err(|_| interrupted())? {
+            match self.decoder.next().map_err(|_| self.interrupted())? {
                 Some(ResponseFrame::Heartbeat) => continue,
                 Some(frame) => return Ok(frame),
                 None => {}
             }
-            match tokio::time::timeout(silence, next_chunk(&mut self.stream)).await {
-                Ok(Ok(Some(bytes))) => self.decoder.push(&bytes),
-                Ok(_) => return Err(interrupted()),
-                Err(_) => return Err(Error::Timeout(self.address.clone())),
+            let received = tokio::time::timeout(silence, self.receive()).await;
+            if let Err(err) = received.unwrap_or_else(|_| Err(Error::Timeout(self.address.clone())))
+            {
+                self.client.disconnect(&self.address);
+                return Err(err);
             }
         }
     }
+
+    /// Waits until the stream is open, or for its next bytes.
+    async fn receive(&mut self) -> Result<()> {
+        match &mut self.stream {
+            ForwardedStream::Opening(opening) => {
+                self.stream = ForwardedStream::Open(opening.await?);
+            }
+            ForwardedStream::Open(stream) => match next_chunk(stream).await {
+                Ok(Some(bytes)) => self.decoder.push(&bytes),
+                _ => return Err(self.interrupted()),
+            },
+        }
+        Ok(())
+    }
+
+    fn interrupted(&self) -> Error {
+        Error::Interrupted(self.address.clone())
+    }
 }
