Wait for a bill until the deadline of its request

Cause: a response whose bill was neither durable nor replicated after 10 s was dropped and rejected as "ran", also where the caller still waited and the bill became durable before the deadline (20 s in the test). The response of work that may not run again was lost. Ruled out: the ledger, which kept the bill and wrote it after the outage.

Change: the wait ends after 10 s or at the deadline, whichever is later. The response is still released only with a durable or replicated bill. The test of the silent owner also checks that each order is billed once.

--- a/crates/peridotslip-daemon/src/filters/settle.rs
+++ b/crates/peridotslip-daemon/src/filters/settle.rs
@@ -13,11 +13,11 @@
     problem::{Rejection, Result},
 };
 
-/// Maximum wait until a bill is durable or replicated, in milliseconds.
-/// After that the request is rejected with execution status "ran": a response
-/// whose bill could be lost is never released.
-const MAX_SETTLE_WAIT_MS: u64 = 10_000;
-/// `Retry-After` of the rejection after [`MAX_SETTLE_WAIT_MS`], in seconds.
+/// Wait until a bill is durable or replicated, in milliseconds, if the request's
+/// deadline is not later. After that the request is rejected with execution
+/// status "ran": a response whose bill could be lost is never released.
+const SETTLE_WAIT_MS: u64 = 10_000;
+/// `Retry-After` of the rejection after [`SETTLE_WAIT_MS`], in seconds.
 const RETRY_AFTER_S: u64 = 2;
 
 pub(super) struct Settle;
@@ -57,8 +57,10 @@
 ) -> Result<()> {
     let metrics = &cx.shared.metrics;
     let started = Instant::now();
-    let limit = Duration::from_millis(MAX_SETTLE_WAIT_MS);
-    if tokio::time::timeout(limit, pending.durable_or_replicated())
+    let limit = cx
+        .deadline()
+        .max(started + Duration::from_millis(SETTLE_WAIT_MS));
+    if tokio::time::timeout_at(limit.into(), pending.durable_or_replicated())
         .await
         .is_err()
     {
--- a/crates/peridotslip-daemon/tests/silence.rs
+++ b/crates/peridotslip-daemon/tests/silence.rs
@@ -179,6 +179,7 @@
         assert_eq!(answer.status, 201, "{}", answer.body);
     }
     assert_eq!(fleet.run_counts(), vec![1; 12]);
+    assert_eq!(fleet.settled_totals().settled, 120);
 }
 
 /// Guards against withholding a ready response for ever because its bill became
