Count the prompt of every request that may have run

Cause: the prompt counted only from the head of a stream on. Ruled out: the reservation and the ledger, which settle what the guard states.

Change: RequestUsage counts the sends of a request that may have run, apart from the delivered output. A send counts when it is written and is taken back when the connection closes unwritten or the server states that it has not run the request; the prompt counts once if any send is left. It costs the prompt of requests that waited in a server until the end of their time and never ran.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -266,7 +266,7 @@
         ReservationGuard {
             manager: self.clone(),
             site: Some(site),
-            used: AtomicU64::new(0),
+            usage: Mutex::default(),
         }
     }
 
--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -1,14 +1,14 @@
 //! Settling reservations at this router or at the owner.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-use peridotslip::{ids::OrganisationName, ledger::Reservation};
+use peridotslip::{
+    ids::OrganisationName,
+    ledger::{RequestUsage, Reservation},
+};
 
 use super::{BudgetManager, CALL_SLACK_MS, PeerRequest, ReservationId, lock};
 use crate::peers::{Peers, RouterInstance};
@@ -104,19 +104,19 @@
     pub(super) manager: Arc<BudgetManager>,
     /// Where the tokens are reserved; `None` once there is nothing to settle.
     pub(super) site: Option<ReservationSite>,
-    pub(super) used: AtomicU64,
+    pub(super) usage: Mutex<RequestUsage>,
 }
 
 impl ReservationGuard {
-    /// Raises the total number of tokens used to `tokens`. What has been used
-    /// stays used, whichever attempt of the request used it.
-    pub(crate) fn raise_used(&self, tokens: u64) {
-        self.used.fetch_max(tokens, Ordering::Relaxed);
+    /// Returns the tokens used, to be updated. The lock must not be held over
+    /// an await.
+    pub(crate) fn usage(&self) -> MutexGuard<'_, RequestUsage> {
+        lock(&self.usage)
     }
 
     /// Returns the total number of tokens used.
     pub(crate) fn used(&self) -> u64 {
-        self.used.load(Ordering::Relaxed)
+        self.usage().tokens()
     }
 
     /// Drops the guard without settling, because the owner made no reservation.
--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -7,7 +7,7 @@
 mod whole;
 
 use http::{HeaderMap, Response, header};
-use peridotslip::forwarding::ServerId;
+use peridotslip::{forwarding::ServerId, ledger::RequestUsage};
 
 use self::{attempt::ServerResponse, retry::RetryState};
 use crate::{
@@ -43,6 +43,14 @@
 /// No connection to the server could be opened.
 const UNREACHABLE: AttemptError = AttemptError::NotRun("unreachable");
 
+/// Updates the tokens that the request has used, if its organisation's budget is
+/// limited.
+fn update_usage(cx: &RequestContext, update: impl FnOnce(&mut RequestUsage)) {
+    if let Some(reservation) = &cx.reservation {
+        update(&mut reservation.usage());
+    }
+}
+
 /// Sends a request that has passed the filters and returns the response.
 pub(crate) async fn run(cx: RequestContext) -> Result<Response<Body>, Rejection> {
     if cx.route.as_ref().is_some_and(|route| route.streaming) {
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -9,11 +9,12 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
-use peridotslip::forwarding::{
-    AttemptOutcome, SelectedServer, Selection, ServerEntry, ServerId, ServerVersion,
+use peridotslip::{
+    forwarding::{AttemptOutcome, SelectedServer, Selection, ServerEntry, ServerId, ServerVersion},
+    ledger::RequestUsage,
 };
 
-use super::{AttemptError, UNREACHABLE, retry::RetryState};
+use super::{AttemptError, UNREACHABLE, retry::RetryState, update_usage};
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
@@ -211,9 +212,13 @@
             }
         };
         let sent_at = Instant::now();
+        update_usage(cx, |usage| {
+            usage.record_send(cx.metadata.prompt.prompt_tokens);
+        });
         let response = match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(SendResult::Response(response)) => response,
             Ok(SendResult::Unwritten) => {
+                update_usage(cx, RequestUsage::record_not_run);
                 in_flight.end(AttemptOutcome::Neutral);
                 return Err(AttemptError::NotRun("connection-closed"));
             }
@@ -231,7 +236,11 @@
             .platform
             .dialect
             .decode_response(response.status(), response.headers());
-        check_response(cx, server, &response, &metadata, in_flight)?;
+        let checked = check_response(cx, server, &response, &metadata, in_flight);
+        if matches!(checked, Err(AttemptError::NotRun(_))) {
+            update_usage(cx, RequestUsage::record_not_run);
+        }
+        checked?;
         Ok((connection, response, metadata, sent_at))
     }
 
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -16,7 +16,7 @@
 use super::{
     AttemptError, RetryState, ServedBy, ServerResponse,
     attempts::{Answer, ReadAnswer, first_answer},
-    end_to_end_headers,
+    end_to_end_headers, update_usage,
 };
 use crate::{
     body::{Body, BodyError, BodySender, channel, full},
@@ -181,7 +181,6 @@
         cx: &RequestContext,
         response: ServerResponse,
     ) -> Result<Answer<StreamStart>, AttemptError> {
-        record_usage(cx, 0);
         if !response.status.is_success() {
             let response = read_error_response(cx, response).await?;
             return Ok(Answer::Provisional(StreamStart::Failure(response)));
@@ -234,18 +233,14 @@
     Err(error)
 }
 
-/// Records the tokens that the request has used: those of its prompt and of
-/// `events` events.
-fn record_usage(cx: &RequestContext, events: u64) {
+/// Records the output tokens of `events` forwarded events.
+fn record_output(cx: &RequestContext, events: u64) {
     let service = cx.index.service(&cx.service);
     let per_event = service
         .and_then(|service| service.engine)
         .map_or(1, |engine| engine.tokens_per_event);
     let output = (events * per_event).min(cx.metadata.max_output_tokens.unwrap_or(0));
-    let used = cx.metadata.prompt.prompt_tokens + output;
-    if let Some(reservation) = &cx.reservation {
-        reservation.raise_used(used);
-    }
+    update_usage(cx, |usage| usage.raise_output(output));
 }
 
 /// Forwards a stream until it ends, fails without another server to resume it,
@@ -272,7 +267,7 @@
                 if !repeated {
                     progress.events += 1;
                     progress.last_event_id = id.or(progress.last_event_id);
-                    record_usage(&cx, progress.events);
+                    record_output(&cx, progress.events);
                     longest_gap = longest_gap.max(last_event_at.elapsed());
                     last_event_at = Instant::now();
                     if tx.send(Ok(event)).await.is_err() {
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -24,6 +24,7 @@
 mod reconcile;
 mod record;
 mod report;
+mod usage;
 
 pub use self::account::{Account, Grant};
 pub use self::ceiling::{WitnessSets, WitnessedCeilings};
@@ -34,6 +35,7 @@
     Bill, BudgetReport, Claim, ClaimStatus, GrantReply, GrantTransfer, Outcome, Report,
     ReportReply, Settlement, SettlementStatus,
 };
+pub use self::usage::RequestUsage;
 
 quick_error! {
     /// An error of the ledger.
