Count the most output of a delivered whole response

Cause: a whole response of a request with token bounds settled none of the output tokens that it delivered, because only streams count theirs. Ruled out: reading the tokens from the response, which does not state them.

Change: a successful whole response counts the most output tokens that its request permits. An error response counts the prompt only.

--- a/crates/peridotslip-edge/src/dispatch/whole.rs
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -10,7 +10,7 @@
 use super::{
     AttemptError, RetryState, ServedBy, ServerResponse,
     attempts::{Answer, ReadAnswer, first_answer},
-    end_to_end_headers,
+    end_to_end_headers, update_usage,
 };
 use crate::{
     body::{Body, full},
@@ -27,9 +27,15 @@
 pub(super) async fn run(cx: &RequestContext) -> Result<Response<Body>, Rejection> {
     let mut retry = RetryState::default();
     let response = first_answer(cx, &mut retry, &ReadWhole, None).await;
-    response
-        .map(|response| response.map(full))
-        .ok_or_else(|| retry.rejection(cx))
+    let Some(response) = response else {
+        return Err(retry.rejection(cx));
+    };
+    if response.status().is_success() {
+        // A whole response doesn't state how many tokens it has.
+        let most = cx.metadata.max_output_tokens.unwrap_or(0);
+        update_usage(cx, |usage| usage.raise_output(most));
+    }
+    Ok(response.map(full))
 }
 
 /// Reads complete responses. Server errors may be retried at another server.
