Show a non-idempotent stream that runs twice

Cause: a stream that fails or does not begin by its deadline has no bill, so the claim on its key is released as that of a request that has not run, although it was sent. Ruled out: the dedupe table, which forgets failed requests on purpose; the claim has to rule out a second run.

Change: a test with a server that closes the connection within a stream, and one that is later than the deadline.

--- a/crates/peridotslip-daemon/tests/silence.rs
+++ b/crates/peridotslip-daemon/tests/silence.rs
@@ -20,6 +20,9 @@
 /// A silence several times as long as all silence timeouts of the tests.
 const LONG_SILENCE: Duration = Duration::from_millis(2_500);
 
+/// A route to the engines whose requests may run once, with a short deadline.
+const ONCE_ROUTE: &str = "  - {name: once, organisation: muscat, model: once, pool: muscat-model, idempotent: false, deadline_ms: 2000}\n";
+
 fn options(silence_timeout_ms: u64) -> FleetOptions {
     FleetOptions {
         routers: 1,
@@ -182,6 +185,41 @@
     assert_eq!(fleet.settled_totals().settled, 120);
 }
 
+/// Guards against work of a non-idempotent stream that isn't billed, or that runs
+/// again, because the stream failed or was late.
+#[test]
+fn non_idempotent_stream_that_fails_is_billed_and_not_run_again() {
+    let _exclusive = exclusive();
+    let [begun, rest] = stream_with_a_silence();
+    let late = (Duration::from_secs(3), String::new());
+    for (case, parts) in [
+        ("broken", vec![begun.clone()]),
+        ("late", vec![late, begun, rest]),
+    ] {
+        let server = ScriptedServer::spawn(&parts);
+        let mut fleet = Fleet::start(&options(200));
+        fleet.engines = vec![server.address.clone()];
+        fleet.apply(&TableOptions {
+            extra_routes: ONCE_ROUTE.to_owned(),
+            ..TableOptions::default()
+        });
+        let body = json!({ "model": "once", "stream": true, "messages": [], "max_tokens": 5 });
+        let once = || {
+            request(&fleet, Method::POST, "/v1/chat/completions")
+                .header("idempotency-key", "once")
+                .json(&body)
+        };
+
+        let first = whole_text(once());
+        let again = send(once());
+
+        assert_ne!(first.map(|(status, _)| status), Some(200), "{case}");
+        assert_eq!(again.refusal(), ("outcome-unknown", "unknown"), "{case}");
+        assert_eq!(server.runs(), 1, "{case}");
+        assert!(fleet.settled_totals().settled > 5, "{case}");
+    }
+}
+
 /// Guards against withholding a ready response for ever because its bill became
 /// durable late, though before the request's deadline.
 #[test]
