Bill a non-idempotent stream that fails or is late

Cause: a stream that failed, was late or overran left no bill. Its claim was released as if the request had not run: a request with the same key ran a second time, and nothing was billed for the first. Ruled out: whole responses, which bill the upper bound of their cost in the same cases.

Change: these streams bill the upper bound with an unknown outcome, as whole responses do, if the route is not idempotent.

--- a/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/stream.rs
@@ -7,7 +7,7 @@
 use peridotslip::{balance::CallOutcome, prelude::*};
 use reqwest::Response;
 
-use super::{AttemptResult, connections::Connections};
+use super::{AttemptResult, buffered, connections::Connections};
 use crate::{
     backend::{
         forward,
@@ -212,13 +212,14 @@
 
 /// Rejects a request whose response did not begin by the deadline. The caller
 /// has no head yet, so it gets the rejection at once.
-fn abort_late(cx: &RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
+fn abort_late(cx: &mut RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
     if let Some(permit) = &cx.permit {
         let deadline_ms = cx.resolved_route().route.deadline_ms;
         permit.record_first_byte(cx.sent_at.elapsed(), deadline_ms);
     }
     cancel_in_background(cx, &guard.server);
     guard.complete(CallOutcome::Neutral);
+    buffered::bill_upper_bound(cx);
     Err(Rejection::unknown(Refusal::BackendTimeout))
 }
 
@@ -226,14 +227,16 @@
     cx.shared.metrics.event("engine-overrun", 1);
     cancel_in_background(cx, &guard.server);
     guard.complete(CallOutcome::Failed);
+    buffered::bill_upper_bound(cx);
     Err(Rejection::unknown(Refusal::BackendFailed))
 }
 
 /// Fails a stream that can't be resumed. The caller has a part of the response
-/// and must see that the response ended early; nothing is billed.
-fn fail_stream(cx: &RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
+/// and must see that the response ended early.
+fn fail_stream(cx: &mut RequestContext, guard: InFlightGuard) -> Result<AttemptResult> {
     cancel_in_background(cx, &guard.server);
     guard.complete(CallOutcome::Failed);
+    buffered::bill_upper_bound(cx);
     Err(backend_failed())
 }
 
