Test a stream whose silent owner alone can go on with it

Cause: the mend of silent owners had a test for requests without a head only.

Change: a test in which the owners of some streams freeze for 4.5 s and their engine cannot resume.

--- a/crates/peridotslip-daemon/tests/silence.rs
+++ b/crates/peridotslip-daemon/tests/silence.rs
@@ -185,6 +185,39 @@
     assert_eq!(fleet.settled_totals().settled, 120);
 }
 
+/// Guards against losing a stream that only its owner receives, because the owner
+/// was silent and no other router can resume the stream.
+#[test]
+fn stream_of_a_silent_owner_goes_on_if_it_cannot_be_resumed() {
+    let _exclusive = exclusive();
+    let server = ScriptedServer::spawn(&stream_with_a_silence());
+    let mut fleet = Fleet::start(&FleetOptions::default());
+    fleet.engines = vec![server.address.clone()];
+    fleet.apply(&TableOptions::default());
+    let streams: Vec<_> = (0..12)
+        .map(|number| {
+            let key = format!("stream-{number}");
+            let stream = stream_request(&fleet, 5).header("idempotency-key", key);
+            thread::spawn(move || whole_text(stream))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+
+    fleet.signal(2, "STOP");
+    thread::sleep(Duration::from_millis(4_500));
+    fleet.signal(2, "CONT");
+
+    for stream in streams {
+        let answer = stream.join().expect("the request is sent");
+        let (_, text) = answer.expect("the stream is whole");
+        assert_eq!(text.matches("\"content\"").count(), 2, "{text}");
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    }
+    assert!(fleet.metric_total("peridotslip_events_total{event=\"home-unreachable\"") > 0.0);
+    assert_eq!(server.runs(), 12);
+    assert_eq!(fleet.settled_totals().settled, 12 * 7);
+}
+
 /// Guards against work of a non-idempotent stream that isn't billed, or that runs
 /// again, because the stream failed or was late.
 #[test]
