Test a stream whose connection is lost many times

Cause: no test failed when resumes were counted over a whole stream again, as long as one connection stayed open.

Change: a test that cuts the connections of a stream eight times.

Trial: without the reset of the count after progress it fails.

--- a/crates/peridotslip-daemon/tests/silence.rs
+++ b/crates/peridotslip-daemon/tests/silence.rs
@@ -9,7 +9,7 @@
 
 use common::{
     exclusive,
-    fleet::{Fleet, FleetOptions, number},
+    fleet::{Fleet, FleetOptions, number, report},
     http::{block_on, send},
     scripted::{Part, ScriptedServer},
     tables::{MUSCAT_KEY, TableOptions},
@@ -112,6 +112,32 @@
     assert_eq!(fleet.settled_totals().settled, number(&report, "tokens"));
 }
 
+/// Guards against a count of resumes over a whole stream, which ends a long
+/// stream that makes progress after each of them.
+#[test]
+fn stream_whose_connection_is_lost_many_times_is_answered_whole() {
+    let _exclusive = exclusive();
+    let fleet = Fleet::start(&FleetOptions {
+        engine_args: vec!["--token-us=20000".to_owned(), "--full-length".to_owned()],
+        engine_proxies: true,
+        ..options(5_000)
+    });
+    let args = ["--model=tagline", "--stream", "--max-tokens=300"];
+    let load = fleet.start_load(&[0], &args);
+    thread::sleep(Duration::from_secs(1));
+
+    for _ in 0..8 {
+        fleet.engine_proxies[0].set("cut");
+        fleet.engine_proxies[0].set("pass");
+        thread::sleep(Duration::from_millis(400));
+    }
+
+    let report = report(&load.wait_with_output().expect("the load generator exits"));
+    assert_eq!(number(&report, "answered"), 1, "{report}");
+    assert!(fleet.metric_total("peridotslip_retries_total{reason=\"stream-resumed\"") > 7.5);
+    assert_eq!(fleet.settled_totals().settled, number(&report, "tokens"));
+}
+
 /// Guards against ending a stream that hasn't begun before its deadline.
 #[test]
 fn engine_silent_before_its_first_event_has_until_the_deadline() {
