Count a silence and the end of its attempt as one failure

Callers saw: a server left alone for a second after a single attempt that was silent and then failed.

Cause: record_silence counts a failure and the end of the attempt another, and two eject.

Change: an attempt whose silence was counted ends without a second failure (AttemptHandle).

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -2,7 +2,10 @@
 //! response.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,10 +33,29 @@
 /// Shortest remaining time for which a request is still sent, in milliseconds.
 const MIN_USEFUL_MS: u128 = 5;
 
+/// Refers to an attempt while it runs.
+#[derive(Clone)]
+pub(super) struct AttemptHandle {
+    pub(super) server: ServerId,
+    /// Whether a silence of the server has been counted as a failure.
+    silent: Arc<AtomicBool>,
+}
+
+impl AttemptHandle {
+    /// Counts a silence as a failure of the server, at most once an attempt.
+    pub(super) fn record_silence(&self, shared: &SharedState) {
+        let counted = self.silent.swap(true, Ordering::Relaxed);
+        let now_ms = shared.clock.now_ms();
+        if !counted && shared.placement().record_silence(&self.server, now_ms) {
+            log::warn!(server = self.server.as_str(); "repeated failures; avoiding the server");
+        }
+    }
+}
+
 /// Counts the request as in flight at a server until the attempt ends.
 struct InFlightGuard {
     shared: Arc<SharedState>,
-    server: ServerId,
+    attempt: AttemptHandle,
     ended: bool,
 }
 
@@ -43,13 +65,15 @@
             return;
         }
         self.ended = true;
+        let AttemptHandle { server, silent } = &self.attempt;
+        let outcome = match outcome {
+            // The silence has been counted already.
+            AttemptOutcome::Failed if silent.load(Ordering::Relaxed) => AttemptOutcome::Neutral,
+            outcome => outcome,
+        };
         let now_ms = self.shared.clock.now_ms();
-        if self
-            .shared
-            .placement()
-            .finish(&self.server, outcome, now_ms)
-        {
-            log::warn!(server = self.server.as_str(); "repeated failures; avoiding the server");
+        if self.shared.placement().finish(server, outcome, now_ms) {
+            log::warn!(server = server.as_str(); "repeated failures; avoiding the server");
         }
     }
 }
@@ -114,7 +138,10 @@
             .choose_with_kv_source(&selection, now_ms)?;
         let in_flight = InFlightGuard {
             shared: cx.shared.clone(),
-            server: selected.server.id.clone(),
+            attempt: AttemptHandle {
+                server: selected.server.id.clone(),
+                silent: Arc::default(),
+            },
             ended: false,
         };
         Some(Self {
@@ -123,9 +150,9 @@
         })
     }
 
-    /// Returns the server's ID.
-    pub(super) fn server(&self) -> &ServerId {
-        &self.selected.server.id
+    /// Returns a handle of the attempt.
+    pub(super) fn handle(&self) -> AttemptHandle {
+        self.in_flight.attempt.clone()
     }
 
     /// Sends the request and waits for the head of the response.
@@ -244,6 +271,11 @@
         Ok((connection, response, metadata, sent_at))
     }
 
+    /// Returns a handle of the attempt.
+    pub(super) fn handle(&self) -> &AttemptHandle {
+        &self.in_flight.attempt
+    }
+
     /// Records the time to the first byte of the body.
     pub(super) fn record_first_byte(&self, cx: &RequestContext) {
         let elapsed = self.sent_at.elapsed();
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -13,7 +13,7 @@
 
 use super::{
     AttemptError, RetryState,
-    attempt::{SelectedAttempt, ServerResponse},
+    attempt::{AttemptHandle, SelectedAttempt, ServerResponse},
 };
 use crate::{context::RequestContext, silence::silence};
 
@@ -59,8 +59,8 @@
     reader: &'a R,
     last_event_id: Option<u64>,
     running: FuturesUnordered<BoxFuture<'a, Outcome<R::Output>>>,
-    /// The server of the running attempt that is not silent.
-    newest: Option<ServerId>,
+    /// The running attempt that is not silent.
+    newest: Option<AttemptHandle>,
 }
 
 /// Sends a request, with `last_event_id` if it resumes a stream, to one server
@@ -92,9 +92,7 @@
                 // An answer that has arrived is no silence.
                 biased;
                 Some((server, outcome)) = self.running.next() => {
-                    if self.newest.as_ref() == Some(&server) {
-                        self.newest = None;
-                    }
+                    self.newest.take_if(|newest| newest.server == server);
                     let mut label = self.reader.retry_label();
                     let error = match outcome {
                         Ok(Answer::Final(answer)) => return Some(answer),
@@ -116,8 +114,8 @@
                     }
                 }
                 () = silence(self.reader.silence_limit(self.cx)) => {
-                    if let Some(server) = self.newest.take() {
-                        self.retry.record_silence(self.cx, &server);
+                    if let Some(attempt) = self.newest.take() {
+                        self.retry.record_silence(self.cx, &attempt);
                     }
                     if self.start() {
                         self.cx.shared.metrics.record_retry("server-silent");
@@ -142,8 +140,9 @@
             return false;
         };
         self.retry.count_send(cx);
-        let server = attempt.server().clone();
-        self.newest = Some(server.clone());
+        let handle = attempt.handle();
+        let server = handle.server.clone();
+        self.newest = Some(handle);
         let (reader, last_event_id) = (self.reader, self.last_event_id);
         self.running.push(Box::pin(async move {
             let outcome = match attempt.send(cx, last_event_id).await {
@@ -159,8 +158,8 @@
 impl<R: ReadAnswer> Drop for Attempts<'_, R> {
     fn drop(&mut self) {
         // An attempt that is cancelled may have run.
-        if let Some(server) = self.newest.take() {
-            self.retry.record_possible_execution(&server);
+        if let Some(attempt) = self.newest.take() {
+            self.retry.record_possible_execution(&attempt.server);
         }
     }
 }
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -2,7 +2,7 @@
 
 use peridotslip::forwarding::{ServerId, ServerVersion};
 
-use super::{AttemptError, UNREACHABLE};
+use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle};
 use crate::{
     context::{Rejection, RequestContext},
     reason::RejectionReason,
@@ -51,7 +51,8 @@
 
     /// Records that the server of a running attempt is silent. Until the attempt
     /// ends, it counts as one in which the server may have run the request.
-    pub(super) fn record_silence(&mut self, cx: &RequestContext, server: &ServerId) {
+    pub(super) fn record_silence(&mut self, cx: &RequestContext, attempt: &AttemptHandle) {
+        let server = &attempt.server;
         if self.silent.contains(server) {
             return;
         }
@@ -59,10 +60,7 @@
         self.reached = true;
         self.silent.push(server.clone());
         self.record_possible_execution(server);
-        let now_ms = cx.shared.clock.now_ms();
-        if cx.shared.placement().record_silence(server, now_ms) {
-            log::warn!(server = server.as_str(); "repeated failures; avoiding the server");
-        }
+        attempt.record_silence(&cx.shared);
     }
 
     /// Records an attempt in which the server may have run the request.
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -344,7 +344,7 @@
             item = stream.next(cx.time_remaining()) => return item,
             () = silence(gap_limit(cx)) => {}
         }
-        retry.record_silence(cx, &stream.response.server);
+        retry.record_silence(cx, stream.response.handle());
         if !retry.permits_another(cx) {
             continue;
         }
