Let a server be silent for 3 s before the kernel ends its connection

Callers saw: 502 for a large request whose server read nothing for 2 s and went on.

Cause: TCP_USER_TIMEOUT of 1.2 s also covers bytes that a closed receive window keeps unacknowledged; the class is a timer beside a sound server. Ruled out: no limit (a request on a path that is cut would hold its caller until the deadline, and an idle connection to a lost server would stay).

--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -25,8 +25,9 @@
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// How long sent bytes may stay unacknowledged before the kernel closes the
-/// connection, in milliseconds. A server that is only slow still acknowledges.
-const UNACKNOWLEDGED_LIMIT_MS: u64 = 1_200;
+/// connection, in milliseconds. Longer than a sound server may be silent: one that
+/// doesn't read acknowledges nothing beyond its receive window.
+const UNACKNOWLEDGED_LIMIT_MS: u64 = 3_000;
 /// Idle time before the kernel probes a connection, and between probes, in
 /// seconds.
 const KEEP_ALIVE_S: u64 = 1;
