Send no requests to a server in the rest that it asks for

A refusal made the placement avoid the server for 60 ms; after that the server, with nothing in flight, was the cheapest, so it was preferred to servers that did the work. The class: a server that fails fast attracts load.

A resting server is not selected, not even as the last resort, and not copied from; a request selected before checks again before it is written. If all servers that could run a request rest and none may have run it, the caller gets 503 at once with the new reason servers-resting and the earliest end plus up to 500 ms.

--- a/crates/peridotslip-edge/src/dispatch.rs
+++ b/crates/peridotslip-edge/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempts;
+mod rest;
 mod retry;
 mod stream;
 mod whole;
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -17,7 +17,7 @@
     ledger::RequestUsage,
 };
 
-use super::{AttemptError, UNREACHABLE, retry::RetryState, update_usage};
+use super::{AttemptError, UNREACHABLE, rest::record_rest, retry::RetryState, update_usage};
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
@@ -221,12 +221,17 @@
                 return Err(UNREACHABLE);
             }
         };
-        // Opening a connection takes time, in which the server may have left.
+        // Opening a connection takes time, in which the server may have left or
+        // asked for a rest.
         let now_ms = cx.shared.clock.now_ms();
         if !cx.shared.placement().accepts_requests(&server.id, now_ms) {
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("server-left"));
         }
+        if cx.shared.placement().is_resting(server, now_ms) {
+            in_flight.end(AttemptOutcome::Neutral);
+            return Err(AttemptError::NotRun("server-resting"));
+        }
         let remaining = cx.time_remaining();
         if remaining.as_millis() < MIN_USEFUL_MS {
             return Err(AttemptError::NotRun("no-time-left"));
@@ -377,6 +382,9 @@
         return Err(AttemptError::NotRun("another server has the address"));
     }
     if metadata.not_run {
+        if let Some(rest) = metadata.rest {
+            record_rest(cx, server, rest);
+        }
         in_flight.end(AttemptOutcome::Full);
         return Err(AttemptError::NotRun("server refused"));
     }
--- /dev/null
+++ b/crates/peridotslip-edge/src/dispatch/rest.rs
@@ -0,0 +1,46 @@
+//! Servers that ask for no requests for some time.
+
+use std::time::Duration;
+
+use peridotslip::forwarding::{MAX_REST_MS, Selection, ServerEntry, ServerVersion};
+
+use crate::{
+    context::{Rejection, RequestContext},
+    reason::RejectionReason,
+};
+
+/// Upper bound on how long after the end of a rest a caller is told to retry, in
+/// milliseconds. Spreads the callers that return.
+const RETRY_SPREAD_MS: u64 = 500;
+
+/// Records the rest that a server has asked for with its refusal of a request.
+pub(super) fn record_rest(cx: &RequestContext, server: &ServerEntry, rest: Duration) {
+    // Rounded up, so that the rest doesn't end early.
+    let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+    let rest_ms = rest_ms.saturating_add(1).min(MAX_REST_MS);
+    let now_ms = cx.shared.clock.now_ms();
+    if cx.shared.placement().record_rest(server, rest_ms, now_ms) {
+        log::info!(id = cx.id(), server = server.id.as_str(), for_ms = rest_ms; "server asked for a rest; sending it no requests");
+    }
+}
+
+/// Returns the rejection of a request that no server has run, if all servers
+/// that could run it rest.
+pub(super) fn rejection(
+    cx: &RequestContext,
+    versions: Option<&[ServerVersion]>,
+) -> Option<Rejection> {
+    let selection = Selection {
+        service: &cx.service,
+        prompt: &cx.metadata.prompt,
+        attempted: &[],
+        versions,
+    };
+    let now_ms = cx.shared.clock.now_ms();
+    let end_ms = cx
+        .shared
+        .placement()
+        .earliest_rest_end_ms(&selection, now_ms)?;
+    let after_ms = end_ms - now_ms + rand::random_range(0..RETRY_SPREAD_MS);
+    Some(Rejection::after(RejectionReason::ServersResting, after_ms))
+}
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -2,7 +2,7 @@
 
 use peridotslip::forwarding::{ServerId, ServerVersion};
 
-use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle};
+use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle, rest};
 use crate::{
     context::{Rejection, RequestContext},
     reason::RejectionReason,
@@ -114,6 +114,12 @@
     pub(super) fn rejection(&self, cx: &RequestContext) -> Rejection {
         let after_ms = cx.shared.settings().timing.retry_after_ms;
         let late = cx.time_remaining().is_zero();
+        if self.possible_executions == 0
+            && !late
+            && let Some(rejection) = rest::rejection(cx, self.versions.as_deref())
+        {
+            return rejection;
+        }
         match (self.possible_executions, late) {
             (0, true) => Rejection::after(RejectionReason::NotStarted, after_ms),
             (0, false) if self.tried.is_empty() && self.resumes => {
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -225,6 +225,9 @@
     pub not_run: bool,
     /// Whether the request reached a server other than the addressed one.
     pub wrong_server: bool,
+    /// How long the server wants no requests from this router after it has
+    /// refused this one.
+    pub rest: Option<Duration>,
     /// The server's load.
     pub load: Option<LoadReport>,
     /// Whether the server closes the connection after the response.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -29,6 +29,9 @@
     VersionGone,
     /// No server to which an attempt was made ran the request.
     ServersFull,
+    /// All servers that could run the request have asked for no requests until a
+    /// later time.
+    ServersResting,
     /// None of the servers to which attempts were made could be reached.
     ServersUnreachable,
     /// A server may have run the request, and no complete response was
@@ -55,6 +58,7 @@
             Self::OriginUnknown => "origin-unknown",
             Self::VersionGone => "version-gone",
             Self::ServersFull => "servers-full",
+            Self::ServersResting => "servers-resting",
             Self::ServersUnreachable => "servers-unreachable",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
@@ -77,6 +81,7 @@
             | Self::OriginUnknown
             | Self::VersionGone
             | Self::ServersFull
+            | Self::ServersResting
             | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerBroke => StatusCode::BAD_GATEWAY,
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -10,6 +10,7 @@
 mod index;
 mod origin;
 mod placement;
+mod rest;
 mod retry_budget;
 mod server;
 mod table;
@@ -21,6 +22,7 @@
         StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
     },
     placement::{Placement, SelectedServer, Selection},
+    rest::{MAX_REST_MS, Rest},
     retry_budget::RetryBudget,
     server::{AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState},
     table::{
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -11,6 +11,7 @@
 
 use super::{
     AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState, ServerVersion,
+    rest::Rests,
 };
 use crate::members::rendezvous_weight;
 
@@ -256,6 +257,7 @@
 pub struct Placement {
     data_centre: String,
     servers: BTreeMap<ServerId, TrackedServer>,
+    rests: Rests,
     /// The last removed servers, the latest last.
     removed: VecDeque<RemovedServer>,
 }
@@ -380,6 +382,27 @@
             .is_some_and(|tracked| tracked.accepts_requests(now_ms))
     }
 
+    /// Returns whether a server must get no requests because of a rest that it has
+    /// asked for.
+    #[must_use]
+    pub fn is_resting(&self, server: &ServerEntry, now_ms: u64) -> bool {
+        self.rests.is_resting(server, now_ms)
+    }
+
+    /// Returns the earliest end of a rest, in milliseconds, if all servers that
+    /// accept requests and may serve the request rest.
+    #[must_use]
+    pub fn earliest_rest_end_ms(&self, selection: &Selection<'_>, now_ms: u64) -> Option<u64> {
+        let tracked = self.servers.values();
+        let accepting = tracked.filter(|tracked| {
+            selection.permits(&tracked.server) && tracked.accepts_requests(now_ms)
+        });
+        let ends: Option<Vec<u64>> = accepting
+            .map(|tracked| self.rests.end_ms(&tracked.server, now_ms))
+            .collect();
+        ends?.into_iter().min()
+    }
+
     /// Returns the number of servers.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -395,7 +418,7 @@
     /// Selects a server of `service` that is not in `attempted` and counts the
     /// request as in flight there. If all of these servers are unavailable
     /// because of failures or full capacity, one of them is selected
-    /// nevertheless.
+    /// nevertheless. A resting server is never selected.
     pub fn choose(
         &mut self,
         service: &str,
@@ -422,7 +445,12 @@
     ) -> Option<SelectedServer> {
         let prompt = selection.prompt;
         let id = self
-            .lowest_cost_server(selection, now_ms, TrackedServer::is_available)
+            .lowest_cost_server(selection, now_ms, |tracked, now_ms| {
+                tracked.is_available(now_ms)
+                    && self
+                        .rests
+                        .admits(&tracked.server, tracked.in_flight, now_ms)
+            })
             .or_else(|| {
                 self.lowest_cost_server(selection, now_ms, TrackedServer::accepts_requests)
             })?;
@@ -452,7 +480,7 @@
             .filter(|tracked| {
                 tracked.server.id != id && tracked.server.service == chosen.server.service
             })
-            .filter(|tracked| tracked.accepts_requests(now_ms) && now_ms >= tracked.avoid_until_ms)
+            .filter(|tracked| self.is_kv_source(tracked, now_ms))
             .map(|tracked| {
                 let gain = tracked
                     .segments
@@ -470,6 +498,13 @@
         self.likely_kv_source(chosen, prompt, now_ms)
     }
 
+    /// Returns whether other engines may copy KV cache entries from an engine.
+    fn is_kv_source(&self, tracked: &TrackedServer, now_ms: u64) -> bool {
+        tracked.accepts_requests(now_ms)
+            && now_ms >= tracked.avoid_until_ms
+            && !self.rests.is_resting(&tracked.server, now_ms)
+    }
+
     /// Returns the address of an engine that has probably cached segments that
     /// the selected one lacks, because of requests from other routers: the
     /// affinity server of the session, or else the affinity server of the
@@ -488,7 +523,7 @@
             .servers
             .values()
             .filter(|tracked| tracked.server.service == chosen.server.service)
-            .filter(|tracked| tracked.accepts_requests(now_ms) && now_ms >= tracked.avoid_until_ms)
+            .filter(|tracked| self.is_kv_source(tracked, now_ms))
             .collect();
         [shared, 1].into_iter().find_map(|count| {
             let prefix = prompt
@@ -506,7 +541,8 @@
         })
     }
 
-    /// Returns the eligible server with the lowest predicted cost.
+    /// Returns the eligible server with the lowest predicted cost, of those that
+    /// don't rest.
     fn lowest_cost_server(
         &self,
         selection: &Selection<'_>,
@@ -518,6 +554,7 @@
             .servers
             .values()
             .filter(|tracked| selection.permits(&tracked.server) && eligible(tracked, now_ms))
+            .filter(|tracked| !self.rests.is_resting(&tracked.server, now_ms))
             .collect();
         let affinity_server = prompt
             .affinity_key()
@@ -609,6 +646,12 @@
         }
     }
 
+    /// Records that a server has refused a request and asked for no more for
+    /// `rest_ms`. Returns whether a rest began; otherwise it was extended.
+    pub fn record_rest(&mut self, server: &ServerEntry, rest_ms: u64, now_ms: u64) -> bool {
+        self.rests.record(server, rest_ms, now_ms)
+    }
+
     /// Records the end of a request that [`choose`](Self::choose) counted.
     /// Returns `true` if the server is ejected because of it.
     pub fn finish(&mut self, id: &str, outcome: AttemptOutcome, now_ms: u64) -> bool {
@@ -624,6 +667,7 @@
             AttemptOutcome::Answered => {
                 tracked.failures = 0;
                 tracked.ejections = 0;
+                self.rests.record_answer(&tracked.server, now_ms);
             }
             AttemptOutcome::Full => {
                 tracked.avoid_until_ms = tracked.avoid_until_ms.max(now_ms + FULL_BACKOFF_MS);
