Send no requests to a server that says that it is leaving

Cause: a server's word that it leaves was read from its entry in the store only, so a response with `Server-Leaving` changed nothing; callers were answered, but by a server that counted on no more requests. `mark_draining`, which was to record such a word, had no caller, went by the server's ID alone, and its mark was lost with each removal, new address or earlier start's entry. Ruled out: a word that is read late (the head of a response is decoded before its body is read).

Any response marks its server at its head: successes, errors, refusals, invalid ones and answers to another request, which come from the same process. A 421 may be from another server at a reused address, so it marks all whose entries have the address; an expected server that is no longer there loses nothing. What was selected before a mark is checked again, by start and address, before it is written, and so is the source of a copy. Idle connections to the server are closed; running responses go on. The mark of a 421 stays as it was, under the name `address_lost`. Weighed and left out: telling the other routers.

Not tested over a real connection: the check before the write.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -181,7 +181,7 @@
             sent_at,
             uncached_tokens: selected.uncached_tokens,
             keep_alive_s: metadata.keep_alive_s,
-            closing: metadata.closing,
+            closing: metadata.closing || metadata.leaving,
             server: server.id,
             version: server.version,
             status: parts.status,
@@ -223,11 +223,11 @@
         };
         // Opening a connection takes time, in which the server may have left or
         // asked for a rest.
-        let now_ms = cx.shared.clock.now_ms();
-        if !cx.shared.placement().accepts_requests(&server.id, now_ms) {
+        if !still_accepts(cx, server) {
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("server-left"));
         }
+        let now_ms = cx.shared.clock.now_ms();
         if cx.shared.placement().is_resting(server, now_ms) {
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("server-resting"));
@@ -268,6 +268,9 @@
             .platform
             .dialect
             .decode_response(response.status(), response.headers());
+        if metadata.leaving {
+            record_leaving(cx, server, &metadata);
+        }
         let checked = check_response(cx, server, &response, &metadata, in_flight);
         if matches!(checked, Err(AttemptError::NotRun(_))) {
             update_usage(cx, RequestUsage::record_not_run);
@@ -331,7 +334,7 @@
         organisation: organisation.map(|organisation| organisation.name.as_str()),
         urgency: urgency.filter(|_| cx.metadata.max_output_tokens.is_some()),
         last_event_id: options.last_event_id,
-        kv_source: options.kv_source,
+        kv_source: kv_source(cx, options),
     };
     let path = cx.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::builder()
@@ -354,6 +357,36 @@
     Ok(request)
 }
 
+/// Returns whether the selected start of a server still accepts requests.
+fn still_accepts(cx: &RequestContext, server: &ServerEntry) -> bool {
+    let now_ms = cx.shared.clock.now_ms();
+    cx.shared.placement().accepts_requests_at(server, now_ms)
+}
+
+/// Returns the selected source of a copy, unless it has begun to leave since.
+fn kv_source<'a>(cx: &RequestContext, options: &SendOptions<'a>) -> Option<&'a str> {
+    let now_ms = cx.shared.clock.now_ms();
+    options
+        .kv_source
+        .filter(|address| cx.shared.placement().may_copy_from(address, now_ms))
+}
+
+/// Records that the server which sent a response is leaving. A response that
+/// rejects the address may be from any server with that address.
+fn record_leaving(cx: &RequestContext, server: &ServerEntry, metadata: &ResponseMetadata) {
+    let marked = if metadata.wrong_server {
+        cx.shared.placement().mark_draining_at(&server.address)
+    } else {
+        let mut placement = cx.shared.placement();
+        let new = placement.mark_draining(&server.id, server.started_ms);
+        Vec::from_iter(new.then(|| server.id.clone()))
+    };
+    for id in marked {
+        cx.shared.upstream.close_idle(&id);
+        log::info!(id = cx.id(), server = id.as_str(); "server is leaving; sending it no more requests");
+    }
+}
+
 /// Checks that the response belongs to this request and that the server ran
 /// the request, and records the load that the server reported.
 fn check_response(
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -228,6 +228,8 @@
     /// How long the server wants no requests from this router after it has
     /// refused this one.
     pub rest: Option<Duration>,
+    /// Whether the server states that it is leaving.
+    pub leaving: bool,
     /// The server's load.
     pub load: Option<LoadReport>,
     /// Whether the server closes the connection after the response.
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -160,6 +160,15 @@
         None
     }
 
+    /// Closes the idle connections to a server.
+    pub(crate) fn close_idle(&self, server: &str) {
+        let mut pools = lock(&self.pools);
+        let idle = pools.get_mut(server).map(|pool| pool.idle.drain(..));
+        idle.into_iter()
+            .flatten()
+            .for_each(|idle| idle.task.abort());
+    }
+
     /// Closes idle connections that have expired or whose server is not
     /// `known`.
     pub(crate) fn evict_idle(&self, known: impl Fn(&str) -> bool) {
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -7,6 +7,7 @@
 //! retries, [`StreamOrigins`] holds at which software versions streams began, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
 //! orders waiting requests.
 
+mod draining;
 mod index;
 mod origin;
 mod placement;
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -11,7 +11,7 @@
 
 use super::{
     AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState, ServerVersion,
-    rest::Rests,
+    draining::DrainingStarts, rest::Rests,
 };
 use crate::members::rendezvous_weight;
 
@@ -138,8 +138,8 @@
     /// The end of the current ejection or of the pause after a refusal, in
     /// milliseconds.
     avoid_until_ms: u64,
-    /// Whether the server has reported with a response that it is draining.
-    draining: bool,
+    /// Whether another server responded at the server's address.
+    address_lost: bool,
     /// From when on a server without an entry counts as gone, in milliseconds;
     /// `None` while the server has an entry.
     gone_at_ms: Option<u64>,
@@ -159,14 +159,14 @@
             failures: 0,
             ejections: 0,
             avoid_until_ms: 0,
-            draining: false,
+            address_lost: false,
             gone_at_ms: None,
             first_byte_ms: None,
         }
     }
 
     fn accepts_requests(&self, now_ms: u64) -> bool {
-        self.server.state == ServerState::Ready && !self.draining && !self.is_gone(now_ms)
+        self.server.state == ServerState::Ready && !self.address_lost && !self.is_gone(now_ms)
     }
 
     fn is_gone(&self, now_ms: u64) -> bool {
@@ -260,6 +260,7 @@
     rests: Rests,
     /// The last removed servers, the latest last.
     removed: VecDeque<RemovedServer>,
+    draining: DrainingStarts,
 }
 
 #[allow(clippy::cast_precision_loss)]
@@ -279,9 +280,14 @@
     }
 
     /// Inserts or updates a server's entry. A restart or a new address resets the
-    /// observations of the server. An entry can't take back that a server is
-    /// leaving. Returns whether the entry changed.
+    /// observations of the server. Only a restart takes back that a server is
+    /// draining. Returns whether the entry changed.
     pub fn upsert(&mut self, mut server: ServerEntry) -> bool {
+        if server.state == ServerState::Draining {
+            self.draining.insert(&server.id, server.started_ms);
+        } else if self.draining.contains(&server.id, server.started_ms) {
+            server.state = ServerState::Draining;
+        }
         match self.servers.get_mut(&server.id) {
             Some(tracked)
                 if tracked.server.started_ms == server.started_ms
@@ -403,6 +409,26 @@
         ends?.into_iter().min()
     }
 
+    /// Returns whether the start of the server that `selected` describes is known
+    /// at the same address and accepts new requests.
+    #[must_use]
+    pub fn accepts_requests_at(&self, selected: &ServerEntry, now_ms: u64) -> bool {
+        self.servers.get(&selected.id).is_some_and(|tracked| {
+            tracked.server.started_ms == selected.started_ms
+                && tracked.server.address == selected.address
+                && tracked.accepts_requests(now_ms)
+        })
+    }
+
+    /// Returns whether a server at `address` accepts new requests, so that another
+    /// one may copy from its KV cache.
+    #[must_use]
+    pub fn may_copy_from(&self, address: &str, now_ms: u64) -> bool {
+        self.servers
+            .values()
+            .any(|tracked| tracked.server.address == address && self.is_kv_source(tracked, now_ms))
+    }
+
     /// Returns the number of servers.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -639,11 +665,28 @@
         }
     }
 
-    /// Marks a server as draining, which the server has reported with a response.
-    pub fn mark_draining(&mut self, id: &str) {
-        if let Some(tracked) = self.servers.get_mut(id) {
-            tracked.draining = true;
+    /// Marks a start of a server as draining, which the server has reported with a
+    /// response. Returns whether the start was not yet known to be draining.
+    pub fn mark_draining(&mut self, id: &str, started_ms: u64) -> bool {
+        if let Some(tracked) = self.servers.get_mut(id)
+            && tracked.server.started_ms == started_ms
+        {
+            tracked.server.state = ServerState::Draining;
         }
+        self.draining.insert(id, started_ms)
+    }
+
+    /// Marks the servers whose entries have `address` as draining: whichever of
+    /// them responds there has reported it. Returns the IDs of those that were not
+    /// yet known to be draining.
+    pub fn mark_draining_at(&mut self, address: &str) -> Vec<ServerId> {
+        let entries = self.servers.values().map(|tracked| &tracked.server);
+        let mut starts: Vec<(ServerId, u64)> = entries
+            .filter(|server| server.address == address)
+            .map(|server| (server.id.clone(), server.started_ms))
+            .collect();
+        starts.retain(|(id, started_ms)| self.mark_draining(id, *started_ms));
+        starts.into_iter().map(|(id, _)| id).collect()
     }
 
     /// Records that a server has refused a request and asked for no more for
@@ -672,7 +715,7 @@
             AttemptOutcome::Full => {
                 tracked.avoid_until_ms = tracked.avoid_until_ms.max(now_ms + FULL_BACKOFF_MS);
             }
-            AttemptOutcome::WrongServer => tracked.draining = true,
+            AttemptOutcome::WrongServer => tracked.address_lost = true,
             AttemptOutcome::Failed => return tracked.record_failure(now_ms),
         }
         false
--- a/crates/peridotslip/src/forwarding/server.rs
+++ b/crates/peridotslip/src/forwarding/server.rs
@@ -85,7 +85,7 @@
     /// The server refused because it was at capacity.
     Full,
     /// The server at the address refused the request because the request is meant
-    /// for another server. The selected server then counts as draining.
+    /// for another server. The selected server gets no more requests there.
     WrongServer,
     /// The server was unreachable, closed the connection early or timed out.
     Failed,
--- a/crates/peridotslip/tests/forwarding.rs
+++ b/crates/peridotslip/tests/forwarding.rs
@@ -213,7 +213,9 @@
 
 #[test]
 fn no_copy_from_an_engine_that_may_not_have_cached_the_prompt() {
-    let drain: fn(&mut Placement, &str) = |placement, id| placement.mark_draining(id);
+    let drain: fn(&mut Placement, &str) = |placement, id| {
+        placement.mark_draining(id, 1);
+    };
     let fail: fn(&mut Placement, &str) = |placement, id| {
         for _ in 0..2 {
             placement.finish(id, AttemptOutcome::Failed, 1_000);
@@ -269,7 +271,7 @@
     let mut draining = server("e1", "north");
     draining.state = ServerState::Draining;
     placement.upsert(draining);
-    placement.mark_draining("e2");
+    placement.mark_draining("e2", 1);
     placement.remove("e3");
 
     for number in 0..20 {
@@ -379,7 +381,7 @@
 #[test]
 fn a_restart_resets_the_state_of_a_server() {
     let mut placement = engines(1);
-    placement.mark_draining("e0");
+    placement.mark_draining("e0", 1);
     assert!(!placement.accepts_requests("e0", 0));
     let mut restarted = server("e0", "north");
     restarted.started_ms = 2;
--- a/crates/peridotslip/tests/rest.rs
+++ b/crates/peridotslip/tests/rest.rs
@@ -150,7 +150,7 @@
     let mut other_version = server(0);
     other_version.version = "v2".to_owned();
     placement.upsert(other_version.clone());
-    placement.mark_draining(&id(1));
+    placement.mark_draining(&id(1), server(1).started_ms);
     placement.record_rest(&other_version, 100, 0);
     placement.record_rest(&server(1), 200, 0);
     placement.record_rest(&server(2), 400, 0);
@@ -317,7 +317,10 @@
             Step::RemoveGone => {
                 self.placement.remove_gone(self.now_ms);
             }
-            Step::MarkDraining(number) => self.placement.mark_draining(&id(*number)),
+            Step::MarkDraining(number) => {
+                self.placement
+                    .mark_draining(&id(*number), self.starts[*number]);
+            }
         }
     }
 }
