Reuse connections only for the start that they were opened to

Cause: the pool was keyed by the server's ID, so a request that was selected for a later start of a server went over an idle connection to the earlier one, which may be leaving and still accepts its own ID. Ruled out: the entry (read before), and the check before the write, which asks about the selected start and can't see where an idle connection leads.

Change: the pool is keyed by the server's ID, address and start. Idle connections to an endpoint that no entry names are closed with the next changes of the entries.

--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -6,13 +6,14 @@
     time::{Duration, Instant},
 };
 
-use peridotslip::forwarding::{ServerEntry, ServerId};
+use peridotslip::forwarding::ServerEntry;
 
 use super::{ListCause, PrefixWatcher, as_ms};
 use crate::{
     context::SharedState,
     ports::{Item, Listing, Revision, WatchEvent},
     store_availability::Outage,
+    upstream::Endpoint,
 };
 
 /// How long a watch of the servers waits for a change, in milliseconds. Servers'
@@ -178,8 +179,9 @@
     fn on_batch_end(&mut self) {
         self.remove_gone();
         let placement = self.shared.placement();
-        let known: HashSet<ServerId> = placement.ids().map(ToOwned::to_owned).collect();
+        let servers = placement.ids().filter_map(|id| placement.server(id));
+        let known: HashSet<Endpoint> = servers.map(Endpoint::from).collect();
         drop(placement);
-        self.shared.upstream.evict_idle(|id| known.contains(id));
+        self.shared.upstream.evict_idle(&known);
     }
 }
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -6,7 +6,7 @@
 //! request at the server.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -38,6 +38,25 @@
 /// connection, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 700;
 
+/// One start of a server at one address. A server that starts again keeps its ID,
+/// and the earlier start may still accept requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Endpoint {
+    server: ServerId,
+    address: String,
+    started_ms: u64,
+}
+
+impl From<&ServerEntry> for Endpoint {
+    fn from(server: &ServerEntry) -> Self {
+        Self {
+            server: server.id.clone(),
+            address: server.address.clone(),
+            started_ms: server.started_ms,
+        }
+    }
+}
+
 /// A connection that waits for its next request.
 struct IdleConnection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -52,11 +71,11 @@
     open: usize,
 }
 
-type PoolsByServer = HashMap<ServerId, ConnectionPool>;
+type PoolsByEndpoint = HashMap<Endpoint, ConnectionPool>;
 
 /// The connections to all servers.
 pub(crate) struct ConnectionPools {
-    pools: Arc<Mutex<PoolsByServer>>,
+    pools: Arc<Mutex<PoolsByEndpoint>>,
     metrics: Arc<Metrics>,
 }
 
@@ -80,7 +99,7 @@
     ConnectionLost(String),
 }
 
-fn lock(pools: &Mutex<PoolsByServer>) -> MutexGuard<'_, PoolsByServer> {
+fn lock(pools: &Mutex<PoolsByEndpoint>) -> MutexGuard<'_, PoolsByEndpoint> {
     pools.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -104,19 +123,20 @@
         server: &ServerEntry,
         limit: usize,
     ) -> Result<PooledConnection, AcquireError> {
-        if let Some(connection) = self.take_idle(&server.id) {
+        let endpoint = Endpoint::from(server);
+        if let Some(connection) = self.take_idle(&endpoint) {
             return Ok(connection);
         }
         {
             let mut pools = lock(&self.pools);
-            let pool = pools.entry(server.id.clone()).or_default();
+            let pool = pools.entry(endpoint.clone()).or_default();
             if pool.open >= limit {
                 return Err(AcquireError::Limit);
             }
             pool.open += 1;
         }
         let open_guard = OpenConnectionGuard {
-            server: server.id.clone(),
+            endpoint: endpoint.clone(),
             pools: self.pools.clone(),
         };
         let connecting = handshake(&server.address);
@@ -133,7 +153,7 @@
             }
         });
         Ok(PooledConnection {
-            server: server.id.clone(),
+            endpoint,
             pools: self.pools.clone(),
             sender: Some(sender),
             task: task.abort_handle(),
@@ -142,14 +162,14 @@
 
     /// Takes the most recently released connection that is still usable, and
     /// closes unusable ones.
-    fn take_idle(&self, server: &str) -> Option<PooledConnection> {
+    fn take_idle(&self, endpoint: &Endpoint) -> Option<PooledConnection> {
         let mut pools = lock(&self.pools);
-        let pool = pools.get_mut(server)?;
+        let pool = pools.get_mut(endpoint)?;
         let now = Instant::now();
         while let Some(idle) = pool.idle.pop() {
             if idle.expires_at > now && idle.sender.is_ready() {
                 return Some(PooledConnection {
-                    server: server.to_owned(),
+                    endpoint: endpoint.clone(),
                     pools: self.pools.clone(),
                     sender: Some(idle.sender),
                     task: idle.task,
@@ -163,19 +183,20 @@
     /// Closes the idle connections to a server.
     pub(crate) fn close_idle(&self, server: &str) {
         let mut pools = lock(&self.pools);
-        let idle = pools.get_mut(server).map(|pool| pool.idle.drain(..));
-        idle.into_iter()
-            .flatten()
+        let pools = pools.iter_mut();
+        pools
+            .filter(|(endpoint, _)| endpoint.server == server)
+            .flat_map(|(_, pool)| pool.idle.drain(..))
             .for_each(|idle| idle.task.abort());
     }
 
-    /// Closes idle connections that have expired or whose server is not
+    /// Closes idle connections that have expired or whose endpoint is not
     /// `known`.
-    pub(crate) fn evict_idle(&self, known: impl Fn(&str) -> bool) {
+    pub(crate) fn evict_idle(&self, known: &HashSet<Endpoint>) {
         let now = Instant::now();
         let mut pools = lock(&self.pools);
-        for (server, pool) in pools.iter_mut() {
-            let removed = !known(server);
+        for (endpoint, pool) in pools.iter_mut() {
+            let removed = !known.contains(endpoint);
             pool.idle.retain(|idle| {
                 let keep = !removed && idle.expires_at > now && !idle.sender.is_closed();
                 if !keep {
@@ -184,19 +205,19 @@
                 keep
             });
         }
-        pools.retain(|server, pool| known(server) || pool.open > 0);
+        pools.retain(|endpoint, pool| known.contains(endpoint) || pool.open > 0);
     }
 }
 
 /// Counts a connection as open while its task runs.
 struct OpenConnectionGuard {
-    server: ServerId,
-    pools: Arc<Mutex<PoolsByServer>>,
+    endpoint: Endpoint,
+    pools: Arc<Mutex<PoolsByEndpoint>>,
 }
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
-        if let Some(pool) = lock(&self.pools).get_mut(&self.server) {
+        if let Some(pool) = lock(&self.pools).get_mut(&self.endpoint) {
             pool.open = pool.open.saturating_sub(1);
         }
     }
@@ -225,8 +246,8 @@
 
 /// A connection that is in use for one request.
 pub(crate) struct PooledConnection {
-    server: ServerId,
-    pools: Arc<Mutex<PoolsByServer>>,
+    endpoint: Endpoint,
+    pools: Arc<Mutex<PoolsByEndpoint>>,
     sender: Option<http1::SendRequest<Full<Bytes>>>,
     task: AbortHandle,
 }
@@ -261,7 +282,7 @@
             self.task.abort();
             return;
         }
-        if let Some(pool) = lock(&self.pools).get_mut(&self.server) {
+        if let Some(pool) = lock(&self.pools).get_mut(&self.endpoint) {
             pool.idle.push(IdleConnection {
                 sender,
                 task: self.task.clone(),
