Record a 421 for the start whose address it came from

Cause: a 421 was recorded as the outcome of an attempt, by the server's ID, so a late one took a later start of the server out of service.

Change: `record_wrong_server` compares start and address, and replaces the outcome `WrongServer`.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -411,7 +411,8 @@
         cx.shared.placement().record_load(&server.id, load, now_ms);
     }
     if metadata.wrong_server {
-        in_flight.end(AttemptOutcome::WrongServer);
+        cx.shared.placement().record_wrong_server(server);
+        in_flight.end(AttemptOutcome::Neutral);
         return Err(AttemptError::NotRun("another server has the address"));
     }
     if metadata.not_run {
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Returns whether `server` describes the same start at the same address.
+    fn is_at(&self, server: &ServerEntry) -> bool {
+        self.server.started_ms == server.started_ms && self.server.address == server.address
+    }
+
     fn accepts_requests(&self, now_ms: u64) -> bool {
         self.server.state == ServerState::Ready && !self.address_lost && !self.is_gone(now_ms)
     }
@@ -289,10 +294,7 @@
             server.state = ServerState::Draining;
         }
         match self.servers.get_mut(&server.id) {
-            Some(tracked)
-                if tracked.server.started_ms == server.started_ms
-                    && tracked.server.address == server.address =>
-            {
+            Some(tracked) if tracked.is_at(&server) => {
                 if tracked.server.state == ServerState::Draining {
                     server.state = ServerState::Draining;
                 }
@@ -413,11 +415,8 @@
     /// at the same address and accepts new requests.
     #[must_use]
     pub fn accepts_requests_at(&self, selected: &ServerEntry, now_ms: u64) -> bool {
-        self.servers.get(&selected.id).is_some_and(|tracked| {
-            tracked.server.started_ms == selected.started_ms
-                && tracked.server.address == selected.address
-                && tracked.accepts_requests(now_ms)
-        })
+        let tracked = self.servers.get(&selected.id);
+        tracked.is_some_and(|tracked| tracked.is_at(selected) && tracked.accepts_requests(now_ms))
     }
 
     /// Returns whether a server at `address` accepts new requests, so that another
@@ -695,6 +694,16 @@
         self.rests.record(server, rest_ms, now_ms)
     }
 
+    /// Records that another server responded at the address of the start that
+    /// `selected` describes. It gets no more requests there.
+    pub fn record_wrong_server(&mut self, selected: &ServerEntry) {
+        if let Some(tracked) = self.servers.get_mut(&selected.id)
+            && tracked.is_at(selected)
+        {
+            tracked.address_lost = true;
+        }
+    }
+
     /// Records the end of a request that [`choose`](Self::choose) counted.
     /// Returns `true` if the server is ejected because of it.
     pub fn finish(&mut self, id: &str, outcome: AttemptOutcome, now_ms: u64) -> bool {
@@ -715,7 +724,6 @@
             AttemptOutcome::Full => {
                 tracked.avoid_until_ms = tracked.avoid_until_ms.max(now_ms + FULL_BACKOFF_MS);
             }
-            AttemptOutcome::WrongServer => tracked.address_lost = true,
             AttemptOutcome::Failed => return tracked.record_failure(now_ms),
         }
         false
--- a/crates/peridotslip/src/forwarding/server.rs
+++ b/crates/peridotslip/src/forwarding/server.rs
@@ -84,9 +84,6 @@
     Answered,
     /// The server refused because it was at capacity.
     Full,
-    /// The server at the address refused the request because the request is meant
-    /// for another server. The selected server gets no more requests there.
-    WrongServer,
     /// The server was unreachable, closed the connection early or timed out.
     Failed,
     /// The caller or this router cancelled the attempt, which is no evidence
--- a/crates/peridotslip/tests/leaving.rs
+++ b/crates/peridotslip/tests/leaving.rs
@@ -59,6 +59,8 @@
     Leaving(&'static str, u64),
     /// A response from an address, which rejects it, says so.
     LeavingAt(&'static str),
+    /// A server other than the selected one responds at its address.
+    WrongServer(ServerEntry),
     /// A request ends.
     Finished(&'static str, AttemptOutcome),
     /// Time passes, in milliseconds.
@@ -78,7 +80,6 @@
     let outcome = prop_oneof![
         Just(AttemptOutcome::Answered),
         Just(AttemptOutcome::Full),
-        Just(AttemptOutcome::WrongServer),
         Just(AttemptOutcome::Failed),
     ];
     let listed = proptest::sample::subsequence(IDS.to_vec(), 0..=IDS.len());
@@ -90,6 +91,7 @@
         1 => Just(Event::RemoveGone),
         2 => (select(&IDS[..]), 1..4_u64).prop_map(|(id, start)| Event::Leaving(id, start)),
         1 => select(&ADDRESSES[..]).prop_map(Event::LeavingAt),
+        2 => any_entry().prop_map(Event::WrongServer),
         2 => (select(&IDS[..]), outcome).prop_map(|(id, outcome)| Event::Finished(id, outcome)),
         2 => (0..3_000_u64).prop_map(Event::Wait),
     ]
@@ -182,12 +184,16 @@
                 }
                 placement.mark_draining_at(address);
             }
-            Event::Finished(id, outcome) => {
-                if outcome == AttemptOutcome::WrongServer
-                    && let Some(known) = self.known.get_mut(id)
+            Event::WrongServer(selected) => {
+                if let Some(known) = self.known.get_mut(&selected.id)
+                    && known.entry.started_ms == selected.started_ms
+                    && known.entry.address == selected.address
                 {
                     known.address_lost = true;
                 }
+                placement.record_wrong_server(&selected);
+            }
+            Event::Finished(id, outcome) => {
                 placement.finish(id, outcome, self.now_ms);
             }
             Event::Wait(ms) => self.now_ms += ms,
