Scan each byte of an event stream once

Cause: EventFramer searched its whole buffer for the end of an event at each piece, so an event that arrives in n pieces took time in proportion to n squared: 50 streams of one endless event kept a router busy until their time limits. Ruled out: the search at the size limit in push, which ran only beyond 1 MiB.

Change: the framer remembers how far it has searched, less the longest terminator.

--- a/crates/peridotslip/src/events.rs
+++ b/crates/peridotslip/src/events.rs
@@ -4,11 +4,16 @@
 
 /// Maximum size of an event, in bytes; the stream fails at a longer one.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Length of the longest end of an event, `\n\r\n`, in bytes.
+const MAX_TERMINATOR_BYTES: usize = 3;
 
 /// Splits a stream of bytes into events.
 #[derive(Debug, Default)]
 pub struct EventFramer {
     buf: BytesMut,
+    /// Number of bytes at the start of the buffer in which no terminator of an
+    /// event begins.
+    scanned: usize,
 }
 
 /// An event exceeds the size limit.
@@ -23,7 +28,7 @@
     /// [`EventTooLong`] if an event exceeds the size limit.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
         self.buf.extend_from_slice(bytes);
-        if self.buf.len() > MAX_EVENT_BYTES && find_end(&self.buf).is_none() {
+        if self.buf.len() > MAX_EVENT_BYTES && self.find_end().is_none() {
             return Err(EventTooLong);
         }
         Ok(())
@@ -31,7 +36,8 @@
 
     /// Returns the next complete event, including its terminating blank line.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let end = find_end(&self.buf)?;
+        let end = self.find_end()?;
+        self.scanned = 0;
         Some(self.buf.split_to(end).freeze())
     }
 
@@ -40,6 +46,17 @@
     pub fn is_partial(&self) -> bool {
         !self.buf.is_empty()
     }
+
+    /// Returns the length of the first event, including its terminating blank
+    /// line. Scans each byte once.
+    fn find_end(&mut self) -> Option<usize> {
+        let end = find_end(&self.buf, self.scanned);
+        // The terminator may begin in the last bytes.
+        self.scanned = end
+            .unwrap_or(self.buf.len())
+            .saturating_sub(MAX_TERMINATOR_BYTES);
+        end
+    }
 }
 
 /// Returns the number in an event's `id` field.
@@ -51,10 +68,11 @@
     })
 }
 
-/// Returns the length of the first event, including its terminating blank line.
-fn find_end(buf: &[u8]) -> Option<usize> {
+/// Returns the length of the first event of `buf`, including its terminating
+/// blank line, which does not begin before `from`.
+fn find_end(buf: &[u8], from: usize) -> Option<usize> {
     let newline = |at: usize| buf.get(at) == Some(&b'\n');
-    buf.iter().enumerate().find_map(|(at, byte)| match byte {
+    (from..buf.len()).find_map(|at| match buf[at] {
         b'\n' if newline(at + 1) => Some(at + 2),
         b'\n' if buf.get(at + 1) == Some(&b'\r') && newline(at + 2) => Some(at + 3),
         _ => None,
