Share a bounded memory among the bodies of all responses

A server whose body has no end took 16 MiB for each request: 50 of them took 817 MB, and a VM has 88 MB.

Cause: a whole body could take 16 MiB whatever others held, and the body of an error as much (1 MiB on streaming routes). Ruled out: pieces that hold the connection's buffer, which were kept as they came, as the sole cause: long chunks take as much.

Change: a body takes at most 4 MiB, that of an error 256 KiB, and a declared length beyond it is refused by the head. All bodies share 16 MiB, until the caller has read them: each may hold as much as stays free, so 50 endless ones get some 300 kB each, a lone one its limit, and there is room for a small one. Nothing waits for memory. A body that exceeds a limit is the server's failure; one of declared length for which only memory is short is not. The decision is in peridotslip::memory, without I/O.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -11,7 +11,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use peridotslip::forwarding::{Organisation, Placement, RetryBudget, RoutingIndex, RoutingRule};
+use peridotslip::{
+    forwarding::{Organisation, Placement, RetryBudget, RoutingIndex, RoutingRule},
+    memory::MemoryPool,
+};
 
 use crate::{
     budgets::{BudgetManager, ReservationGuard},
@@ -35,6 +38,9 @@
 /// use.
 const RATIO_SHARE: f64 = 0.7;
 
+/// Memory for the content of all responses, in bytes. A VM has at least 88 MB.
+const RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
 /// The state that all requests share.
 pub(crate) struct SharedState {
     settings: Mutex<Arc<Settings>>,
@@ -44,6 +50,7 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) budgets: Arc<BudgetManager>,
     pub(crate) upstream: ConnectionPools,
+    pub(crate) response_memory: MemoryPool,
     pub(crate) placement: Mutex<Placement>,
     pub(crate) origins: OriginDirectory,
     index: Mutex<Arc<RoutingIndex>>,
@@ -65,6 +72,7 @@
         let placement = Mutex::new(Placement::new(&settings.data_centre));
         Self {
             upstream: ConnectionPools::new(metrics.clone()),
+            response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
             settings: Mutex::new(Arc::new(settings)),
             platform,
             metrics,
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -285,6 +285,12 @@
         &self.in_flight.attempt
     }
 
+    /// Returns the length of the rest of the body, in bytes, if the server has
+    /// declared it.
+    pub(super) fn content_length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// Reads the next chunk of the body. Returns `None` at the end.
     pub(super) async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
         let frame = match self.body.frame().await? {
--- a/crates/peridotslip-edge/src/dispatch/collect.rs
+++ b/crates/peridotslip-edge/src/dispatch/collect.rs
@@ -1,9 +1,16 @@
-//! Reads complete bodies of responses.
+//! Reads complete bodies of responses into the router's shared memory.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use peridotslip::memory::MemoryShare;
 use quick_error::quick_error;
 
-use super::attempt::ServerResponse;
+use super::{AttemptError, attempt::ServerResponse};
+use crate::context::RequestContext;
+
+/// Longest body of a successful response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Longest body of any other response, in bytes.
+const MAX_ERROR_BYTES: usize = 256 * 1024;
 
 quick_error! {
     /// Why a body can't be read.
@@ -17,25 +24,88 @@
         TooLong(limit: usize) {
             display("the body has more than {limit} bytes")
         }
+        /// The bodies of all responses exceed the router's memory, in bytes of
+        /// this body.
+        OutOfMemory(bytes: usize) {
+            display("the router has no memory for {bytes} bytes of the body")
+        }
     }
 }
 
 /// The result of reading a body.
 pub(super) type Result<T> = std::result::Result<T, Error>;
 
-/// Reads the complete body of `from_server`, up to `limit` bytes.
+/// A body's content and the memory that it holds.
+struct BodyBuffer {
+    content: Vec<u8>,
+    share: MemoryShare,
+    /// Most bytes of the content.
+    limit: usize,
+}
+
+impl BodyBuffer {
+    fn append(&mut self, chunk: &[u8]) -> Result<()> {
+        let needed = self.content.len() + chunk.len();
+        if needed > self.limit {
+            return Err(Error::TooLong(self.limit));
+        }
+        if needed > self.content.capacity() {
+            let doubled = (self.content.capacity() * 2).min(self.limit);
+            let capacity = needed.max(doubled);
+            self.share
+                .resize(capacity)
+                .map_err(|_| Error::OutOfMemory(needed))?;
+            self.content.reserve_exact(capacity - self.content.len());
+        }
+        self.content.extend_from_slice(chunk);
+        Ok(())
+    }
+}
+
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
+/// Reads the complete body of `from_server`. It holds shared memory until it is
+/// dropped.
 ///
 /// # Errors
 ///
-/// An [`Error`] if the body can't be read or exceeds the limit.
-pub(super) async fn collect(from_server: &mut ServerResponse, limit: usize) -> Result<Bytes> {
-    let mut buf = BytesMut::new();
+/// An [`Error`] if the body can't be read or exceeds a limit.
+pub(super) async fn collect(
+    cx: &RequestContext,
+    from_server: &mut ServerResponse,
+) -> Result<Bytes> {
+    let limit = if from_server.status.is_success() {
+        MAX_RESPONSE_BYTES
+    } else {
+        MAX_ERROR_BYTES
+    };
+    let length = from_server.content_length();
+    if length.is_some_and(|length| length > u64::try_from(limit).unwrap_or(u64::MAX)) {
+        return Err(Error::TooLong(limit));
+    }
+    let mut buf = BodyBuffer {
+        content: Vec::new(),
+        share: cx.shared.response_memory.share(),
+        limit,
+    };
     while let Some(chunk) = from_server.chunk().await {
-        let chunk = chunk.map_err(Error::Broken)?;
-        if buf.len() + chunk.len() > limit {
-            return Err(Error::TooLong(limit));
-        }
-        buf.extend_from_slice(&chunk);
+        buf.append(&chunk.map_err(Error::Broken)?)?;
+    }
+    Ok(Bytes::from_owner(buf))
+}
+
+/// Ends the attempt after its body could not be read. A body that has an end is
+/// not the server's failure if only memory for it is short.
+pub(super) fn give_up(from_server: ServerResponse, err: &Error) -> AttemptError {
+    let has_end = from_server.content_length().is_some();
+    if has_end && matches!(err, Error::OutOfMemory(_)) {
+        drop(from_server);
+    } else {
+        from_server.abort();
     }
-    Ok(buf.freeze())
+    AttemptError::MayHaveRun(err.to_string())
 }
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -15,7 +15,7 @@
 use super::{
     AttemptError, RetryState, ServedBy, ServerResponse,
     attempts::{Answer, ReadAnswer, first_answer},
-    collect::collect,
+    collect::{collect, give_up},
     end_to_end_headers, update_usage,
 };
 use crate::{
@@ -27,8 +27,6 @@
     stream_origins,
 };
 
-/// Longest body of an error response, in bytes.
-const MAX_ERROR_BYTES: usize = 1024 * 1024;
 /// How long a server may be silent before its first event, as a multiple of the
 /// route's first-byte target, before another attempt starts beside it.
 const TARGETS_BEFORE_RETRY: f64 = 2.5;
@@ -218,14 +216,14 @@
     cx: &RequestContext,
     mut from_server: ServerResponse,
 ) -> Result<Response<Bytes>, AttemptError> {
-    let body = collect(&mut from_server, MAX_ERROR_BYTES);
+    let body = collect(cx, &mut from_server);
     let error = match tokio::time::timeout(cx.time_remaining(), body).await {
         Ok(Ok(body)) => {
             let response = head(&from_server).map(|()| body);
             from_server.complete();
             return Ok(response);
         }
-        Ok(Err(err)) => AttemptError::MayHaveRun(err.to_string()),
+        Ok(Err(err)) => return Err(give_up(from_server, &err)),
         Err(_) => AttemptError::Late,
     };
     from_server.abort();
--- a/crates/peridotslip-edge/src/dispatch/whole.rs
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -9,7 +9,7 @@
 use super::{
     AttemptError, RetryState, ServedBy, ServerResponse,
     attempts::{Answer, ReadAnswer, first_answer},
-    collect::collect,
+    collect::{collect, give_up},
     end_to_end_headers, update_usage,
 };
 use crate::{
@@ -17,8 +17,6 @@
     context::{Rejection, RequestContext},
 };
 
-/// Longest buffered response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// How long a server may take, as a multiple of the route's first-byte target,
 /// before another attempt starts beside it.
 const TARGETS_BEFORE_RETRY: u32 = 4;
@@ -50,13 +48,10 @@
         cx: &RequestContext,
         mut from_server: ServerResponse,
     ) -> Result<Answer<Response<Bytes>>, AttemptError> {
-        let body = collect(&mut from_server, MAX_RESPONSE_BYTES);
+        let body = collect(cx, &mut from_server);
         let body = match tokio::time::timeout(cx.time_remaining(), body).await {
             Ok(Ok(body)) => body,
-            Ok(Err(err)) => {
-                from_server.abort();
-                return Err(AttemptError::MayHaveRun(err.to_string()));
-            }
+            Ok(Err(err)) => return Err(give_up(from_server, &err)),
             Err(_) => {
                 from_server.abort();
                 return Err(AttemptError::Late);
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -59,6 +59,7 @@
 - [`balance`]: selection of a backend server.
 - [`forwarding`]: routing, placement and retry budgets for forwarded requests.
 - [`events`]: framing of server-sent events.
+- [`memory`]: a bound on the memory of buffers that requests share.
 - [`refusal`]: the reasons for which a request is refused or retried.
 */
 
@@ -71,6 +72,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod members;
+pub mod memory;
 pub mod prelude;
 pub mod reclaim;
 pub mod refusal;
