Count buffered events in the memory that responses share

Cause: each stream could buffer an event of 1 MiB, and four more for a slow caller, beside all other streams: 50 endless events took 73,048 kB. Ruled out: the connections' buffers (50 heads without end stay below the bound).

Change: what a stream buffers beyond 8 KiB is counted in the memory of all responses, until the event has been sent. A stream for whose event there is no memory fails at its server and resumes at another if the route permits.

--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -10,7 +10,10 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::Response;
-use peridotslip::events::{EventFramer, event_id};
+use peridotslip::{
+    events::{EventFramer, event_id},
+    memory::MemoryShare,
+};
 
 use super::{
     AttemptError, RetryState, ServedBy, ServerResponse,
@@ -33,6 +36,9 @@
 /// How long a server may be silent between events, as a multiple of the route's
 /// target gap, before the stream may resume at another server.
 const GAPS_BEFORE_RETRY: u32 = 4;
+/// Bytes that a stream may buffer beside the memory that all responses share:
+/// enough for usual events.
+const PRIVATE_BYTES: usize = 8 * 1024;
 /// Target gap between events if the route sets none, in milliseconds.
 const DEFAULT_GAP_MS: u64 = 500;
 
@@ -48,14 +54,64 @@
 struct ServerStream {
     response: ServerResponse,
     framer: EventFramer,
+    /// Shared memory of the framer's bytes beyond [`PRIVATE_BYTES`].
+    share: MemoryShare,
+}
+
+/// An event and the shared memory that it holds until it has been sent.
+struct HeldEvent {
+    event: Bytes,
+    _share: MemoryShare,
+}
+
+impl AsRef<[u8]> for HeldEvent {
+    fn as_ref(&self) -> &[u8] {
+        &self.event
+    }
 }
 
 impl ServerStream {
+    fn new(cx: &RequestContext, response: ServerResponse) -> Self {
+        Self {
+            response,
+            framer: EventFramer::default(),
+            share: cx.shared.response_memory.share(),
+        }
+    }
+
+    /// Adds bytes to the framer. Returns why the stream fails if they exceed a
+    /// limit.
+    fn push(&mut self, bytes: &[u8]) -> Result<(), String> {
+        if self.framer.push(bytes).is_err() {
+            return Err("an event is too long".to_owned());
+        }
+        let buffered = self.framer.buffered_bytes();
+        self.share
+            .resize(buffered.saturating_sub(PRIVATE_BYTES))
+            .map_err(|_| format!("the router has no memory for {buffered} bytes of events"))
+    }
+
+    /// Takes the next event from the framer, with the shared memory that the
+    /// rest does not need.
+    fn next_buffered(&mut self) -> Option<Bytes> {
+        let event = self.framer.next_event()?;
+        let rest = self.framer.buffered_bytes().saturating_sub(PRIVATE_BYTES);
+        let share = self.share.split(self.share.held() - rest);
+        if share.held() == 0 {
+            return Some(event);
+        }
+        let held = HeldEvent {
+            event,
+            _share: share,
+        };
+        Some(Bytes::from_owner(held))
+    }
+
     /// Reads the next item, for up to `limit`.
     async fn next(&mut self, limit: Duration) -> StreamItem {
         let until = tokio::time::Instant::now() + limit;
         loop {
-            if let Some(event) = self.framer.next_event() {
+            if let Some(event) = self.next_buffered() {
                 return StreamItem::Event(event);
             }
             let chunk = tokio::time::timeout_at(until, self.response.chunk()).await;
@@ -67,8 +123,8 @@
                 Ok(None) => return StreamItem::End,
                 Ok(Some(Err(reason))) => return StreamItem::Broken(reason),
                 Ok(Some(Ok(chunk))) => {
-                    if self.framer.push(&chunk).is_err() {
-                        return StreamItem::Broken("an event is too long".to_owned());
+                    if let Err(reason) = self.push(&chunk) {
+                        return StreamItem::Broken(reason);
                     }
                 }
             }
@@ -182,10 +238,7 @@
             let response = read_error_response(cx, response).await?;
             return Ok(Answer::Provisional(StreamStart::Failure(response)));
         }
-        let mut stream = ServerStream {
-            response,
-            framer: EventFramer::default(),
-        };
+        let mut stream = ServerStream::new(cx, response);
         let error = match stream.next(cx.time_remaining()).await {
             StreamItem::Event(event) => {
                 stream.response.record_first_byte(cx);
--- a/crates/peridotslip/src/events.rs
+++ b/crates/peridotslip/src/events.rs
@@ -41,6 +41,12 @@
         Some(self.buf.split_to(end).freeze())
     }
 
+    /// Returns the number of bytes of which no event has been returned.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether the buffer contains an incomplete event.
     #[must_use]
     pub fn is_partial(&self) -> bool {
--- a/crates/peridotslip/src/memory.rs
+++ b/crates/peridotslip/src/memory.rs
@@ -73,6 +73,12 @@
         Ok(())
     }
 
+    /// Returns the size of the share, in bytes.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
     /// Moves up to `bytes` bytes to a share of their own.
     #[must_use]
     pub fn split(&mut self, bytes: usize) -> Self {
