Share a bounded memory among the bodies that peridotslipd receives

Cause: each buffered body could take limits.max_answer_bytes (8 MiB) whatever others held, so 50 bodies without end took 393 MB; a body beyond the limit left no log line. Ruled out: a lower limit for each body, which would refuse long ones that end.

Change: the bodies being received share 16 MiB, or twice max_answer_bytes if that is more, by the rule of the edge router: each may hold as much as stays free. The buffer moves to peridotslip::memory, so that both routers use one. A keyed response, which is kept for replays, is counted until it is complete. A body that can't be read is logged with its server, request and reason.

--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -8,6 +8,7 @@
 use axum::http::{HeaderMap, Method, Uri};
 use bytes::Bytes;
 use peridotslip::{
+    memory::MemoryPool,
     prelude::*,
     tables::{ResolvedRoute, TableIndex},
 };
@@ -39,6 +40,8 @@
     pub(crate) settings: Settings,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) controllers: Controllers,
+    /// Memory for the bodies that are being received from backend servers.
+    pub(crate) response_memory: MemoryPool,
 }
 
 /// A caller's request with its whole body.
--- a/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
-use peridotslip::{balance::CallOutcome, prelude::*};
+use peridotslip::{balance::CallOutcome, memory::PooledBuffer, prelude::*};
 use reqwest::Response;
 use tokio::time::{Instant, timeout_at};
 
@@ -27,20 +27,31 @@
     let status = response.status();
     let headers = forward::response_headers(response.headers());
     let limit = cx.shared.settings.limits.max_answer_bytes;
+    let buf = PooledBuffer::new(&cx.shared.response_memory, limit);
     let silence = Duration::from_millis(cx.shared.settings.backends.silence_timeout_ms);
     let deadline = cx.deadline().into();
     cx.record_first_byte();
     let keyed = cx.idempotency_key.is_some();
     let buffer = cx.response.clone();
     let body = tokio::select! {
-        body = read(response, limit, silence, deadline) => body,
+        body = read(response, buf, silence, deadline) => body,
         () = buffer.readers_gone(Duration::ZERO), if !keyed => {
             return stream::cancel(cx, guard).await;
         }
     };
-    let Some(body) = body else {
-        guard.complete(CallOutcome::Failed);
-        return retry_if_idempotent(cx, Refusal::BackendFailed);
+    let body = match body {
+        Ok(body) => body,
+        Err(reason) => {
+            log::info!(id = cx.id.as_str(), server = guard.server.as_str(), reason = reason.as_str(); "a response could not be read; the attempt fails");
+            guard.complete(CallOutcome::Failed);
+            return retry_if_idempotent(cx, Refusal::BackendFailed);
+        }
+    };
+    // A replayable response outlives the request.
+    let body = if keyed {
+        body.into_content().into()
+    } else {
+        Bytes::from_owner(body)
     };
     guard.complete(CallOutcome::Answered);
     cx.usage = Some(Usage {
@@ -55,25 +66,23 @@
     Ok(AttemptResult::Answered)
 }
 
-/// Reads a whole body. Returns `None` if the connection fails, the body is
-/// longer than `limit` bytes, or no data arrives for `silence` and until the
-/// deadline.
+/// Reads a whole body to `buf`. Returns the reason if the connection fails, the
+/// body exceeds a limit of the buffer, or no data arrives for `silence` and
+/// until the deadline.
 async fn read(
     response: Response,
-    limit: usize,
+    mut buf: PooledBuffer,
     silence: Duration,
     deadline: Instant,
-) -> Option<Bytes> {
+) -> std::result::Result<PooledBuffer, String> {
     let mut stream = response.bytes_stream();
-    let mut buf = BytesMut::new();
     loop {
         let until = deadline.max(Instant::now() + silence);
-        let Some(chunk) = timeout_at(until, stream.next()).await.ok()? else {
-            return Some(buf.freeze());
-        };
-        buf.extend_from_slice(&chunk.ok()?);
-        if buf.len() > limit {
-            return None;
+        let next = timeout_at(until, stream.next()).await;
+        match next.map_err(|_| "the server is silent".to_owned())? {
+            None => return Ok(buf),
+            Some(Ok(chunk)) => buf.append(&chunk).map_err(|err| err.to_string())?,
+            Some(Err(err)) => return Err(err.without_url().to_string()),
         }
     }
 }
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use peridotslip::{members::Node, prelude::*};
+use peridotslip::{members::Node, memory::MemoryPool, prelude::*};
 use peridotslip_store::{HttpStore, HttpVmList, Store, VmList};
 use tokio::{
     net::TcpListener,
@@ -43,6 +43,10 @@
 /// Maximum wait for the ledger's last exchanges at a graceful shutdown.
 const LEDGER_CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Least memory for the bodies that are being received from backend servers, in
+/// bytes.
+const MIN_RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
 /// Runs a router until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -64,10 +68,12 @@
         Duration::from_millis(settings.store.timeout_ms),
     )?);
     let controllers = spawn_controllers(&settings, &store, &metrics)?;
+    let memory_bytes = MIN_RESPONSE_MEMORY_BYTES.max(2 * settings.limits.max_answer_bytes);
     let shared = Arc::new(SharedState {
         settings,
         metrics,
         controllers,
+        response_memory: MemoryPool::new(memory_bytes),
     });
     spawn_background_tasks(&shared, store)?;
     let shutdown = Arc::new(ShutdownState::default());
--- a/crates/peridotslip-edge/src/dispatch/collect.rs
+++ b/crates/peridotslip-edge/src/dispatch/collect.rs
@@ -1,7 +1,7 @@
 //! Reads complete bodies of responses into the router's shared memory.
 
 use bytes::Bytes;
-use peridotslip::memory::MemoryShare;
+use peridotslip::memory::{AppendError, PooledBuffer};
 use quick_error::quick_error;
 
 use super::{AttemptError, attempt::ServerResponse};
@@ -20,14 +20,10 @@
         Broken(reason: String) {
             display("{reason}")
         }
-        /// The body exceeds the limit, in bytes.
-        TooLong(limit: usize) {
-            display("the body has more than {limit} bytes")
-        }
-        /// The bodies of all responses exceed the router's memory, in bytes of
-        /// this body.
-        OutOfMemory(bytes: usize) {
-            display("the router has no memory for {bytes} bytes of the body")
+        /// The body exceeds a limit.
+        Limit(err: AppendError) {
+            display("can't buffer the body: {err}")
+            from()
         }
     }
 }
@@ -35,39 +31,6 @@
 /// The result of reading a body.
 pub(super) type Result<T> = std::result::Result<T, Error>;
 
-/// A body's content and the memory that it holds.
-struct BodyBuffer {
-    content: Vec<u8>,
-    share: MemoryShare,
-    /// Most bytes of the content.
-    limit: usize,
-}
-
-impl BodyBuffer {
-    fn append(&mut self, chunk: &[u8]) -> Result<()> {
-        let needed = self.content.len() + chunk.len();
-        if needed > self.limit {
-            return Err(Error::TooLong(self.limit));
-        }
-        if needed > self.content.capacity() {
-            let doubled = (self.content.capacity() * 2).min(self.limit);
-            let capacity = needed.max(doubled);
-            self.share
-                .resize(capacity)
-                .map_err(|_| Error::OutOfMemory(needed))?;
-            self.content.reserve_exact(capacity - self.content.len());
-        }
-        self.content.extend_from_slice(chunk);
-        Ok(())
-    }
-}
-
-impl AsRef<[u8]> for BodyBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.content
-    }
-}
-
 /// Reads the complete body of `from_server`. It holds shared memory until it is
 /// dropped.
 ///
@@ -85,13 +48,9 @@
     };
     let length = from_server.content_length();
     if length.is_some_and(|length| length > u64::try_from(limit).unwrap_or(u64::MAX)) {
-        return Err(Error::TooLong(limit));
+        return Err(AppendError::TooLong(limit).into());
     }
-    let mut buf = BodyBuffer {
-        content: Vec::new(),
-        share: cx.shared.response_memory.share(),
-        limit,
-    };
+    let mut buf = PooledBuffer::new(&cx.shared.response_memory, limit);
     while let Some(chunk) = from_server.chunk().await {
         buf.append(&chunk.map_err(Error::Broken)?)?;
     }
@@ -102,7 +61,7 @@
 /// not the server's failure if only memory for it is short.
 pub(super) fn give_up(from_server: ServerResponse, err: &Error) -> AttemptError {
     let has_end = from_server.content_length().is_some();
-    if has_end && matches!(err, Error::OutOfMemory(_)) {
+    if has_end && matches!(err, Error::Limit(AppendError::OutOfMemory(_))) {
         drop(from_server);
     } else {
         from_server.abort();
--- a/crates/peridotslip/src/memory.rs
+++ b/crates/peridotslip/src/memory.rs
@@ -9,6 +9,8 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use quick_error::quick_error;
+
 /// A bounded amount of memory, in bytes.
 #[derive(Clone, Debug)]
 pub struct MemoryPool {
@@ -26,6 +28,30 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OutOfMemory;
 
+quick_error! {
+    /// Why content can't be added to a buffer.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum AppendError {
+        /// The content exceeds the buffer's limit, in bytes.
+        TooLong(limit: usize) {
+            display("the content has more than {limit} bytes")
+        }
+        /// The pool has no memory for so many bytes of the content.
+        OutOfMemory(bytes: usize) {
+            display("there is no memory for {bytes} bytes of the content")
+        }
+    }
+}
+
+/// A buffer of limited length whose memory belongs to a pool.
+#[derive(Debug)]
+pub struct PooledBuffer {
+    content: Vec<u8>,
+    share: MemoryShare,
+    /// Most bytes of the content.
+    limit: usize,
+}
+
 impl MemoryPool {
     /// Returns a pool of `capacity` bytes.
     #[must_use]
@@ -91,6 +117,53 @@
     }
 }
 
+impl PooledBuffer {
+    /// Returns an empty buffer for up to `limit` bytes.
+    #[must_use]
+    pub fn new(pool: &MemoryPool, limit: usize) -> Self {
+        Self {
+            content: Vec::new(),
+            share: pool.share(),
+            limit,
+        }
+    }
+
+    /// Appends content.
+    ///
+    /// # Errors
+    ///
+    /// An [`AppendError`] if the content exceeds a limit. The buffer is
+    /// unchanged.
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), AppendError> {
+        let needed = self.content.len() + bytes.len();
+        if needed > self.limit {
+            return Err(AppendError::TooLong(self.limit));
+        }
+        if needed > self.content.capacity() {
+            let doubled = (self.content.capacity() * 2).min(self.limit);
+            let capacity = needed.max(doubled);
+            self.share
+                .resize(capacity)
+                .map_err(|_| AppendError::OutOfMemory(needed))?;
+            self.content.reserve_exact(capacity - self.content.len());
+        }
+        self.content.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Returns the content, which the pool no longer counts.
+    #[must_use]
+    pub fn into_content(self) -> Vec<u8> {
+        self.content
+    }
+}
+
+impl AsRef<[u8]> for PooledBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
 impl Drop for MemoryShare {
     fn drop(&mut self) {
         self.pool.free.fetch_add(self.held, Ordering::Relaxed);
--- a/crates/peridotslip/tests/memory.rs
+++ b/crates/peridotslip/tests/memory.rs
@@ -1,6 +1,6 @@
 //! The bound on the memory of shared buffers.
 
-use peridotslip::memory::{MemoryPool, MemoryShare, OutOfMemory};
+use peridotslip::memory::{AppendError, MemoryPool, MemoryShare, OutOfMemory, PooledBuffer};
 use proptest::prelude::*;
 
 const CAPACITY: usize = 1_000;
@@ -55,6 +55,32 @@
     assert_eq!(pool.free(), 700);
 }
 
+#[test]
+fn buffer_has_a_limit_and_returns_its_memory() {
+    let pool = MemoryPool::new(CAPACITY);
+    let mut buf = PooledBuffer::new(&pool, 300);
+
+    for _ in 0..3 {
+        buf.append(&[7; 100]).unwrap();
+    }
+
+    assert_eq!(buf.append(b"x"), Err(AppendError::TooLong(300)));
+    assert_eq!(buf.as_ref(), [7; 300]);
+    assert_eq!(pool.free(), CAPACITY - 300);
+    assert_eq!(buf.into_content(), [7; 300]);
+    assert_eq!(pool.free(), CAPACITY);
+}
+
+#[test]
+fn buffer_is_unchanged_if_the_pool_has_no_memory() {
+    let pool = MemoryPool::new(CAPACITY);
+    let mut buf = PooledBuffer::new(&pool, CAPACITY);
+    buf.append(&[7; 400]).unwrap();
+
+    assert_eq!(buf.append(&[7; 200]), Err(AppendError::OutOfMemory(600)));
+    assert_eq!(buf.as_ref(), [7; 400]);
+}
+
 /// What happens to a buffer.
 #[derive(Clone, Copy, Debug)]
 enum Action {
