Leave room for what the HTTP library reads ahead of a body

Cause: the allowance of 128 KiB without content counts bytes that have been read ahead and not yet handed on. One read takes up to 48 KiB (seen; its buffer may grow to 64 KiB), and two can be outstanding, so a sound server could come close to the limit.

--- a/crates/peridotslip-edge/src/upstream/overhead.rs
+++ b/crates/peridotslip-edge/src/upstream/overhead.rs
@@ -21,7 +21,7 @@
 
 /// Most bytes that a server may send without content: heads, the framing of
 /// chunks and trailers, and what the HTTP library reads ahead.
-const MAX_OVERHEAD_BYTES: usize = 128 * 1024;
+const MAX_OVERHEAD_BYTES: usize = 256 * 1024;
 /// Bytes that a server may send for each byte of content, which includes the
 /// byte itself.
 const BYTES_PER_CONTENT_BYTE: usize = 2;
