Word a comment in the code's own terms

Cause: "measured" reads like a note on how the constant was found. Ruled out: nothing.

Change: one doc comment.

Result: no behaviour changed.

--- a/crates/peridotslip-edge/src/silence.rs
+++ b/crates/peridotslip-edge/src/silence.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Length of the steps in which silence is measured, in milliseconds.
+/// Length of the steps in which silence is counted, in milliseconds.
 const STEP_MS: u64 = 100;
 
 /// Waits until a server has been silent for `limit`; without a limit, forever.
