Log the prompt segments of requests whose server closes the connection

Change: a failed connection says whether the server's side closed it (end or reset, no timeout), and such an attempt logs the shared segments.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -14,7 +14,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use peridotslip::{
-    forwarding::{AttemptOutcome, SelectedServer, Selection, ServerEntry, ServerId, ServerVersion},
+    forwarding::{
+        AttemptOutcome, PromptSegment, SelectedServer, Selection, ServerEntry, ServerId,
+        ServerStart, ServerVersion,
+    },
     ledger::RequestUsage,
 };
 
@@ -22,7 +25,7 @@
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
-    upstream::{AcquireError, PooledConnection, SendResult, describe},
+    upstream::{AcquireError, ConnectionError, PooledConnection, SendResult},
 };
 
 /// Connections to a server that a router may open even if its share of the
@@ -58,6 +61,10 @@
     shared: Arc<SharedState>,
     attempt: AttemptHandle,
     ended: bool,
+    request_id: String,
+    start: ServerStart,
+    /// The segments of the request's prompt that other requests may share.
+    segments: Vec<PromptSegment>,
 }
 
 impl InFlightGuard {
@@ -77,6 +84,20 @@
             log::warn!(server = server.as_str(); "repeated failures; avoiding the server");
         }
     }
+
+    /// Records that the connection has failed during a request with a prompt.
+    fn record_lost_connection(&self, err: &ConnectionError) {
+        if err.closed_by_server && !self.segments.is_empty() {
+            let ids = self
+                .segments
+                .iter()
+                .map(|segment| format!("{:x}", segment.id));
+            let segments = ids.collect::<Vec<_>>().join(",");
+            let id = self.request_id.as_str();
+            let server = self.start.server.as_str();
+            log::info!(id, server, segments = segments.as_str(); "server closed the connection during a request");
+        }
+    }
 }
 
 impl Drop for InFlightGuard {
@@ -144,6 +165,9 @@
                 silent: Arc::default(),
             },
             ended: false,
+            request_id: cx.id().to_owned(),
+            start: ServerStart::from(&selected.server),
+            segments: cx.metadata.prompt.shared_segments(),
         };
         Some(Self {
             in_flight,
@@ -255,9 +279,10 @@
                 in_flight.end(AttemptOutcome::Neutral);
                 return Err(AttemptError::NotRun("connection-closed"));
             }
-            Ok(SendResult::ConnectionLost(reason)) => {
+            Ok(SendResult::ConnectionLost(err)) => {
+                in_flight.record_lost_connection(&err);
                 in_flight.end(AttemptOutcome::Failed);
-                return Err(AttemptError::MayHaveRun(reason));
+                return Err(AttemptError::MayHaveRun(err.reason));
             }
             Err(_) => {
                 in_flight.end(AttemptOutcome::Failed);
@@ -295,7 +320,11 @@
     pub(super) async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
         let frame = match self.body.frame().await? {
             Ok(frame) => frame,
-            Err(err) => return Some(Err(describe(&err))),
+            Err(err) => {
+                let err = ConnectionError::from(&err);
+                self.in_flight.record_lost_connection(&err);
+                return Some(Err(err.reason));
+            }
         };
         let chunk = frame.into_data().unwrap_or_default();
         self.connection.record_content(chunk.len());
--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -6,14 +6,13 @@
     time::{Duration, Instant},
 };
 
-use peridotslip::forwarding::ServerEntry;
+use peridotslip::forwarding::{ServerEntry, ServerStart};
 
 use super::{ListCause, PrefixWatcher, as_ms};
 use crate::{
     context::SharedState,
     ports::{Item, Listing, Revision, WatchEvent},
     store_availability::Outage,
-    upstream::Endpoint,
 };
 
 /// How long a watch of the servers waits for a change, in milliseconds. Servers'
@@ -180,7 +179,7 @@
         self.remove_gone();
         let placement = self.shared.placement();
         let servers = placement.ids().filter_map(|id| placement.server(id));
-        let known: HashSet<Endpoint> = servers.map(Endpoint::from).collect();
+        let known: HashSet<ServerStart> = servers.map(ServerStart::from).collect();
         drop(placement);
         self.shared.upstream.evict_idle(&known);
     }
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -10,6 +10,7 @@
 use std::{
     collections::{HashMap, HashSet},
     error::Error as StdError,
+    io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -19,7 +20,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use peridotslip::forwarding::{ServerEntry, ServerId};
+use peridotslip::forwarding::{ServerEntry, ServerStart};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle};
 
@@ -45,28 +46,17 @@
 /// Most bytes that a connection reads ahead, which also limits a response's
 /// head, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Errors of a connection that the server's side has closed or reset. One to a
+/// lost VM or over a broken link times out instead.
+const CLOSED_BY_SERVER: [io::ErrorKind; 4] = [
+    io::ErrorKind::BrokenPipe,
+    io::ErrorKind::ConnectionAborted,
+    io::ErrorKind::ConnectionReset,
+    io::ErrorKind::UnexpectedEof,
+];
 /// Most headers of a response.
 const MAX_HEADERS: usize = 100;
 
-/// One start of a server at one address. A server that starts again keeps its ID,
-/// and the earlier start may still accept requests.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Endpoint {
-    server: ServerId,
-    address: String,
-    started_ms: u64,
-}
-
-impl From<&ServerEntry> for Endpoint {
-    fn from(server: &ServerEntry) -> Self {
-        Self {
-            server: server.id.clone(),
-            address: server.address.clone(),
-            started_ms: server.started_ms,
-        }
-    }
-}
-
 /// A connection that waits for its next request.
 struct IdleConnection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -82,11 +72,11 @@
     open: usize,
 }
 
-type PoolsByEndpoint = HashMap<Endpoint, ConnectionPool>;
+type PoolsByStart = HashMap<ServerStart, ConnectionPool>;
 
 /// The connections to all servers.
 pub(crate) struct ConnectionPools {
-    pools: Arc<Mutex<PoolsByEndpoint>>,
+    pools: Arc<Mutex<PoolsByStart>>,
     metrics: Arc<Metrics>,
 }
 
@@ -107,11 +97,33 @@
     Unwritten,
     /// The connection failed after the request was written and before the
     /// response's head was received.
-    ConnectionLost(String),
+    ConnectionLost(ConnectionError),
+}
+
+/// How a connection to a server failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionError {
+    pub(crate) reason: String,
+    /// Whether the server's side has closed or reset the connection.
+    pub(crate) closed_by_server: bool,
+}
+
+impl From<&hyper::Error> for ConnectionError {
+    fn from(err: &hyper::Error) -> Self {
+        let mut sources = std::iter::successors(err.source(), |&err| err.source());
+        Self {
+            reason: describe(err),
+            closed_by_server: err.is_incomplete_message()
+                || sources.any(|source| {
+                    let err = source.downcast_ref::<io::Error>();
+                    err.is_some_and(|err| CLOSED_BY_SERVER.contains(&err.kind()))
+                }),
+        }
+    }
 }
 
 /// Returns an error's message with those of its sources.
-pub(crate) fn describe(err: &dyn StdError) -> String {
+fn describe(err: &dyn StdError) -> String {
     let mut text = err.to_string();
     let mut source = err.source();
     while let Some(err) = source {
@@ -121,7 +133,7 @@
     text
 }
 
-fn lock(pools: &Mutex<PoolsByEndpoint>) -> MutexGuard<'_, PoolsByEndpoint> {
+fn lock(pools: &Mutex<PoolsByStart>) -> MutexGuard<'_, PoolsByStart> {
     pools.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -145,20 +157,20 @@
         server: &ServerEntry,
         limit: usize,
     ) -> Result<PooledConnection, AcquireError> {
-        let endpoint = Endpoint::from(server);
-        if let Some(connection) = self.take_idle(&endpoint) {
+        let start = ServerStart::from(server);
+        if let Some(connection) = self.take_idle(&start) {
             return Ok(connection);
         }
         {
             let mut pools = lock(&self.pools);
-            let pool = pools.entry(endpoint.clone()).or_default();
+            let pool = pools.entry(start.clone()).or_default();
             if pool.open >= limit {
                 return Err(AcquireError::Limit);
             }
             pool.open += 1;
         }
         let open_guard = OpenConnectionGuard {
-            endpoint: endpoint.clone(),
+            start: start.clone(),
             pools: self.pools.clone(),
         };
         let overhead = OverheadAllowance::new();
@@ -176,7 +188,7 @@
             }
         });
         Ok(PooledConnection {
-            endpoint,
+            start,
             pools: self.pools.clone(),
             sender: Some(sender),
             overhead,
@@ -186,14 +198,14 @@
 
     /// Takes the most recently released connection that is still usable, and
     /// closes unusable ones.
-    fn take_idle(&self, endpoint: &Endpoint) -> Option<PooledConnection> {
+    fn take_idle(&self, start: &ServerStart) -> Option<PooledConnection> {
         let mut pools = lock(&self.pools);
-        let pool = pools.get_mut(endpoint)?;
+        let pool = pools.get_mut(start)?;
         let now = Instant::now();
         while let Some(idle) = pool.idle.pop() {
             if idle.expires_at > now && idle.sender.is_ready() {
                 return Some(PooledConnection {
-                    endpoint: endpoint.clone(),
+                    start: start.clone(),
                     pools: self.pools.clone(),
                     sender: Some(idle.sender),
                     overhead: idle.overhead,
@@ -210,18 +222,18 @@
         let mut pools = lock(&self.pools);
         let pools = pools.iter_mut();
         pools
-            .filter(|(endpoint, _)| endpoint.server == server)
+            .filter(|(start, _)| start.server == server)
             .flat_map(|(_, pool)| pool.idle.drain(..))
             .for_each(|idle| idle.task.abort());
     }
 
-    /// Closes idle connections that have expired or whose endpoint is not
+    /// Closes idle connections that have expired or whose start is not
     /// `known`.
-    pub(crate) fn evict_idle(&self, known: &HashSet<Endpoint>) {
+    pub(crate) fn evict_idle(&self, known: &HashSet<ServerStart>) {
         let now = Instant::now();
         let mut pools = lock(&self.pools);
-        for (endpoint, pool) in pools.iter_mut() {
-            let removed = !known.contains(endpoint);
+        for (start, pool) in pools.iter_mut() {
+            let removed = !known.contains(start);
             pool.idle.retain(|idle| {
                 let keep = !removed && idle.expires_at > now && !idle.sender.is_closed();
                 if !keep {
@@ -230,19 +242,19 @@
                 keep
             });
         }
-        pools.retain(|endpoint, pool| known.contains(endpoint) || pool.open > 0);
+        pools.retain(|start, pool| known.contains(start) || pool.open > 0);
     }
 }
 
 /// Counts a connection as open while its task runs.
 struct OpenConnectionGuard {
-    endpoint: Endpoint,
-    pools: Arc<Mutex<PoolsByEndpoint>>,
+    start: ServerStart,
+    pools: Arc<Mutex<PoolsByStart>>,
 }
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
-        if let Some(pool) = lock(&self.pools).get_mut(&self.endpoint) {
+        if let Some(pool) = lock(&self.pools).get_mut(&self.start) {
             pool.open = pool.open.saturating_sub(1);
         }
     }
@@ -274,8 +286,8 @@
 
 /// A connection that is in use for one request.
 pub(crate) struct PooledConnection {
-    endpoint: Endpoint,
-    pools: Arc<Mutex<PoolsByEndpoint>>,
+    start: ServerStart,
+    pools: Arc<Mutex<PoolsByStart>>,
     sender: Option<http1::SendRequest<Full<Bytes>>>,
     overhead: OverheadAllowance,
     task: AbortHandle,
@@ -295,7 +307,7 @@
             Ok(response) => SendResult::Response(response),
             Err(mut err) => match err.take_message() {
                 Some(_) => SendResult::Unwritten,
-                None => SendResult::ConnectionLost(describe(&err.into_error())),
+                None => SendResult::ConnectionLost((&err.into_error()).into()),
             },
         }
     }
@@ -318,7 +330,7 @@
             self.task.abort();
             return;
         }
-        if let Some(pool) = lock(&self.pools).get_mut(&self.endpoint) {
+        if let Some(pool) = lock(&self.pools).get_mut(&self.start) {
             pool.idle.push(IdleConnection {
                 sender,
                 overhead: self.overhead.clone(),
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -25,7 +25,10 @@
     placement::{Placement, SelectedServer, Selection},
     rest::{MAX_REST_MS, Rest},
     retry_budget::RetryBudget,
-    server::{AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState},
+    server::{
+        AttemptOutcome, LoadReport, PromptProfile, PromptSegment, ServerEntry, ServerId,
+        ServerStart, ServerState,
+    },
     table::{
         CallerLimits, EngineTraits, Idempotency, Organisation, RoutingRule, RoutingTable, Service,
     },
--- a/crates/peridotslip/src/forwarding/server.rs
+++ b/crates/peridotslip/src/forwarding/server.rs
@@ -41,6 +41,29 @@
     pub started_ms: u64,
 }
 
+/// One start of a server at one address. A server that starts again keeps its ID,
+/// and the earlier start may still accept requests.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerStart {
+    /// The server's name.
+    pub server: ServerId,
+    /// The server's address, `IP:port`.
+    pub address: String,
+    /// When the server started, in milliseconds since the Unix epoch; 0 if
+    /// unknown.
+    pub started_ms: u64,
+}
+
+impl From<&ServerEntry> for ServerStart {
+    fn from(server: &ServerEntry) -> Self {
+        Self {
+            server: server.id.clone(),
+            address: server.address.clone(),
+            started_ms: server.started_ms,
+        }
+    }
+}
+
 /// The load that a server reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -72,11 +95,30 @@
         self.segments.get(last_shared).map(|(id, _)| *id)
     }
 
+    /// Returns the segments that other requests may share: all but the last.
+    #[must_use]
+    pub fn shared_segments(&self) -> Vec<PromptSegment> {
+        let shared = self.segments.len().saturating_sub(1);
+        let ids = self.segments.iter().take(shared).map(|(id, _)| *id);
+        ids.zip(0..)
+            .map(|(id, position)| PromptSegment { id, position })
+            .collect()
+    }
+
     pub(super) fn uncached_tokens(&self, cached: u64) -> u64 {
         self.prompt_tokens.saturating_sub(cached)
     }
 }
 
+/// A segment of a prompt that other requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptSegment {
+    /// The segment's hash.
+    pub id: u64,
+    /// The segment's position in the prompt, from 0.
+    pub position: u32,
+}
+
 /// How an attempt at a server ended, for the health record of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
