Stop sending prompts that crash servers

Cause (BUDGET): requests with one prompt segment crashed each engine that began to answer them. Nothing remembered the prompt: a failure counted against the engine alone, and the next request or attempt went to another one. Ruled out: a router at fault, overload (timeline).

Change: forwarding/crash_evidence.rs keeps under which shared segments which starts of servers have ended, acquits by answers, explains crashes by as few segments as possible, and blocks a segment after four. crash_watch.rs shares observations with all peers (protocol 4), and a starting router reads them before it is ready. Blocked prompts are refused before tokens are reserved (prompt-blocked), checked again before each attempt and write, and given up in flight (prompt-stopped). After two crashes a request gets no second attempt. Why this works: the segment at fault is in every crash and never answered, all others are answered or in fewer; timeouts, leaving servers, stopping and paused routers accuse none; simultaneous ends count once.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -1,7 +1,7 @@
 //! The requests between routers, and the replies about budgets.
 
 use peridotslip::{
-    forwarding::StreamOrigin,
+    forwarding::{CrashObservation, StreamOrigin},
     ids::{BudgetName, Incarnation, OrganisationName},
     ledger::GrantTransfer,
 };
@@ -73,6 +73,11 @@
     FindOrigin { id: String, services: Vec<String> },
     /// Asks what the router holds of an organisation's budget.
     FetchHolding(OrganisationName),
+    /// Delivers observations of servers that have ended under prompts.
+    ShareCrashes(Vec<CrashObservation>),
+    /// Asks for all that the router knows of servers that have ended under
+    /// prompts.
+    FetchCrashes,
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -93,7 +98,8 @@
     fn is_idempotent(&self) -> bool {
         match self {
             // Reservations, transfers and incarnations have identifiers, and a
-            // ceiling never falls, so a repeated request has no further effect.
+            // ceiling never falls, and an observation counts once, so a repeated
+            // request has no further effect.
             Self::Reserve { .. }
             | Self::ReserveWithPriority { .. }
             | Self::Settle(_)
@@ -104,6 +110,8 @@
             | Self::RecordOrigin { .. }
             | Self::FindOrigin { .. }
             | Self::FetchHolding(_)
+            | Self::ShareCrashes(_)
+            | Self::FetchCrashes
             | Self::Probe => true,
             // Each reply issues a transfer of its own.
             Self::RequestTransfer { .. } => false,
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -12,13 +12,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use peridotslip::{
-    forwarding::{Organisation, Placement, RetryBudget, RoutingIndex, RoutingRule},
+    forwarding::{Organisation, Placement, PromptVerdict, RetryBudget, RoutingIndex, RoutingRule},
     memory::MemoryPool,
 };
 
 use crate::{
     budgets::{BudgetManager, ReservationGuard},
     clock::Clock,
+    crash_watch::CrashWatch,
     limited_stream::ConnectionLimits,
     metrics::Metrics,
     peers::Peers,
@@ -53,6 +54,7 @@
     pub(crate) response_memory: MemoryPool,
     pub(crate) placement: Mutex<Placement>,
     pub(crate) origins: OriginDirectory,
+    pub(crate) crashes: CrashWatch,
     index: Mutex<Arc<RoutingIndex>>,
     retry_budgets: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) store_availability: StoreAvailability,
@@ -81,6 +83,7 @@
             budgets,
             placement,
             origins: OriginDirectory::new(clock),
+            crashes: CrashWatch::new(clock),
             index: Mutex::default(),
             retry_budgets: Mutex::default(),
             store_availability: StoreAvailability::new(),
@@ -133,9 +136,13 @@
     }
 
     /// Returns whether this router can serve requests: it is not stopping, has a
-    /// routing table and knows at least one server.
+    /// routing table, knows at least one server and has the peers' observations of
+    /// crashes.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.index().version() > 0 && !self.placement().is_empty()
+        !self.is_stopping()
+            && self.index().version() > 0
+            && !self.placement().is_empty()
+            && self.crashes.is_loaded()
     }
 
     /// Runs `f` on the retry budget of `service`.
@@ -212,6 +219,9 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: String,
     pub(crate) reservation: Option<ReservationGuard>,
+    /// Whether the request is sent although its prompt is blocked, to learn whether
+    /// the prompt still crashes servers.
+    pub(crate) is_probe: bool,
 }
 
 impl RequestContext {
@@ -233,6 +243,30 @@
         self.arrived + Duration::from_millis(limit_ms)
     }
 
+    /// Returns whether the request must not be sent because its prompt crashes
+    /// servers.
+    pub(crate) fn is_prompt_blocked(&self) -> bool {
+        let verdict = self.shared.crashes.verdict(&self.metadata.prompt);
+        !self.is_probe && matches!(verdict, PromptVerdict::Blocked(_))
+    }
+
+    /// Returns whether servers have crashed under the request's prompt, so that it
+    /// must not be sent a second time.
+    pub(crate) fn is_prompt_suspect(&self) -> bool {
+        self.shared.crashes.verdict(&self.metadata.prompt) != PromptVerdict::Clear
+    }
+
+    /// Waits until the request must not be sent because its prompt crashes servers.
+    pub(crate) async fn wait_prompt_blocked(&self) {
+        if self.is_probe || self.metadata.prompt.segments.is_empty() {
+            return std::future::pending().await;
+        }
+        self.shared
+            .crashes
+            .wait_blocked(&self.metadata.prompt)
+            .await;
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_remaining(&self) -> Duration {
         self.deadline().saturating_duration_since(Instant::now())
--- /dev/null
+++ b/crates/peridotslip-edge/src/crash_watch.rs
@@ -0,0 +1,240 @@
+//! Prompts that crash servers: shares observations with the other routers and
+//! applies what [`CrashEvidence`] concludes from them.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::future::join_all;
+use peridotslip::{
+    forwarding::{
+        BlockChange, CrashEvidence, CrashObservation, PromptProfile, PromptSegment, PromptVerdict,
+        ServerStart,
+    },
+    ids::Incarnation,
+};
+use tokio::sync::watch;
+
+use crate::{
+    budgets::PeerRequest,
+    clock::Clock,
+    context::SharedState,
+    peers::{Peers, RouterInstance},
+};
+
+/// The first version of the messages between routers that has the messages
+/// about crashes.
+const MIN_PROTOCOL: u32 = 4;
+/// When the caller of a blocked prompt may retry, in milliseconds: not before a
+/// probe can have acquitted it.
+pub(crate) const BLOCKED_RETRY_MS: u64 = 5 * 60 * 1_000;
+/// Interval between two assessments, in milliseconds.
+const ASSESS_INTERVAL_MS: u64 = 50;
+/// A router whose last assessment is longer ago has been paused, in milliseconds.
+const PAUSED_MS: u64 = 500;
+/// Shortest interval between two messages to a peer, in milliseconds.
+const MIN_SHARE_INTERVAL_MS: u64 = 100;
+/// Interval between two messages to a peer, for each router of the fleet, in
+/// milliseconds. Bounds how many messages a router gets.
+const SHARE_INTERVAL_PER_ROUTER_MS: u64 = 10;
+/// Longest interval between two messages to a peer, in milliseconds.
+const MAX_SHARE_INTERVAL_MS: u64 = 1_000;
+/// Longest wait for a peer's reply, in milliseconds.
+const PEER_TIMEOUT_MS: u64 = 250;
+/// Number of peers that a starting router asks at the same time.
+const ASKED_PEERS: usize = 3;
+/// Longest time for which a starting router with a routing table waits for its
+/// peers' observations, in milliseconds.
+const LOAD_TIMEOUT_MS: u64 = 2_000;
+/// Interval between two checks of a starting router for peers, in milliseconds.
+const LOAD_POLL_MS: u64 = 20;
+
+/// The evidence that this router has, its own and that of its peers.
+pub(crate) struct CrashWatch {
+    evidence: Mutex<CrashEvidence>,
+    clock: Clock,
+    /// Notifies of changes of the blocked segments.
+    blocks_changed: watch::Sender<()>,
+    assessed_ms: AtomicU64,
+    loaded: AtomicBool,
+}
+
+impl CrashWatch {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            evidence: Mutex::default(),
+            clock,
+            blocks_changed: watch::Sender::new(()),
+            assessed_ms: AtomicU64::new(clock.now_ms()),
+            loaded: AtomicBool::new(false),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashEvidence> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a server has ended a request with `segments`. Ignored right
+    /// after a pause of this router, when connections end for other reasons.
+    pub(crate) fn record_end(&self, start: &ServerStart, segments: &[PromptSegment]) {
+        let now_ms = self.clock.now_ms();
+        let assessed_ms = self.assessed_ms.load(Ordering::Relaxed);
+        if now_ms.saturating_sub(assessed_ms) < PAUSED_MS {
+            self.lock().record_end(start, segments, now_ms);
+        }
+    }
+
+    /// Records that a server has answered a prompt with `segments`.
+    pub(crate) fn record_answer(&self, segments: &[PromptSegment]) {
+        self.lock().record_answer(segments, self.clock.now_ms());
+    }
+
+    /// Adds the observations of a peer.
+    pub(crate) fn merge(&self, observations: &[CrashObservation]) {
+        self.lock().merge(observations, self.clock.now_ms());
+    }
+
+    /// Returns all that is known, for a router that starts.
+    pub(crate) fn snapshot(&self) -> Vec<CrashObservation> {
+        self.lock().snapshot(self.clock.now_ms())
+    }
+
+    /// Returns what is known of a prompt.
+    pub(crate) fn verdict(&self, prompt: &PromptProfile) -> PromptVerdict {
+        self.lock().verdict(prompt)
+    }
+
+    /// Returns whether this router may send a request with a blocked segment to
+    /// learn whether it still crashes servers. One router at a time makes probes.
+    pub(crate) fn begin_probe(&self, segment: u64, peers: &Peers) -> bool {
+        let ranked = peers.ranked(&format!("{segment:x}"), true);
+        let first = ranked.first();
+        first.is_some_and(|first| first == peers.local())
+            && self.lock().begin_probe(segment, self.clock.now_ms())
+    }
+
+    /// Waits until a prompt is blocked.
+    pub(crate) async fn wait_blocked(&self, prompt: &PromptProfile) {
+        let mut changes = self.blocks_changed.subscribe();
+        while !matches!(self.verdict(prompt), PromptVerdict::Blocked(_)) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Returns whether the peers' observations have been read since the start.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+
+    fn assess(&self) {
+        let now_ms = self.clock.now_ms();
+        self.assessed_ms.store(now_ms, Ordering::Relaxed);
+        let changes = self.lock().assess(now_ms);
+        for change in &changes {
+            match change {
+                BlockChange::Blocked { segment, crashes } => {
+                    log::warn!(segment = format!("{segment:x}").as_str(), crashes; "servers have crashed under a prompt segment; rejecting requests with it");
+                }
+                BlockChange::Released(segment) => {
+                    log::info!(segment = format!("{segment:x}").as_str(); "prompt segment is no longer blocked");
+                }
+            }
+        }
+        if !changes.is_empty() {
+            self.blocks_changed.send_replace(());
+        }
+    }
+}
+
+/// Assesses and shares observations until the process ends.
+pub(crate) fn spawn(shared: &Arc<SharedState>) {
+    tokio::spawn(load(shared.clone()));
+    tokio::spawn(share(shared.clone()));
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(ASSESS_INTERVAL_MS)).await;
+            shared.crashes.assess();
+        }
+    });
+}
+
+fn knows_crashes(peer: &RouterInstance) -> bool {
+    peer.protocol >= MIN_PROTOCOL
+}
+
+/// Reads the observations of peers after the start.
+async fn load(shared: Arc<SharedState>) {
+    let peers = &shared.peers;
+    let poll = Duration::from_millis(LOAD_POLL_MS);
+    while !peers.is_synced() && shared.index().version() == 0 {
+        tokio::time::sleep(poll).await;
+    }
+    let timeout = Duration::from_millis(LOAD_TIMEOUT_MS);
+    let loaded = tokio::time::timeout(timeout, async {
+        while !peers.is_synced() {
+            tokio::time::sleep(poll).await;
+        }
+        // A peer that does not reply is marked unreachable and not asked again.
+        loop {
+            let mut asked = peers.ranked(&peers.local().vm, false);
+            asked.retain(knows_crashes);
+            asked.truncate(ASKED_PEERS);
+            let replies = asked.iter().map(|peer| {
+                let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+                peers.call::<_, Vec<CrashObservation>>(peer, &PeerRequest::FetchCrashes, timeout)
+            });
+            let replies = join_all(replies).await;
+            let any_replied = replies.iter().any(Result::is_ok);
+            for observations in replies.into_iter().flatten() {
+                shared.crashes.merge(&observations);
+            }
+            if asked.is_empty() || any_replied {
+                return;
+            }
+        }
+    });
+    if loaded.await.is_err() {
+        log::warn!("no peer replied with observations of crashed servers; starting without them");
+    }
+    shared.crashes.assess();
+    shared.crashes.loaded.store(true, Ordering::Relaxed);
+}
+
+/// Sends this router's observations to its peers.
+async fn share(shared: Arc<SharedState>) {
+    let (peers, crashes) = (&shared.peers, &shared.crashes);
+    // The first observation that a router has not yet confirmed.
+    let mut unconfirmed: HashMap<Incarnation, u64> = HashMap::new();
+    loop {
+        let fleet = u64::try_from(peers.fleet_size()).unwrap_or(u64::MAX);
+        let interval_ms = fleet
+            .saturating_mul(SHARE_INTERVAL_PER_ROUTER_MS)
+            .clamp(MIN_SHARE_INTERVAL_MS, MAX_SHARE_INTERVAL_MS);
+        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        let next_seq = crashes.lock().next_seq();
+        let others = peers.others();
+        unconfirmed
+            .retain(|incarnation, _| others.iter().any(|peer| peer.incarnation == *incarnation));
+        let calls = others.iter().filter_map(|peer| {
+            let from = unconfirmed.get(&peer.incarnation).copied().unwrap_or(0);
+            let due = from < next_seq && knows_crashes(peer) && peers.is_reachable(peer);
+            due.then_some(async move {
+                let (next, observations) = crashes.lock().own_since(from, crashes.clock.now_ms());
+                let request = PeerRequest::ShareCrashes(observations);
+                let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
+                let reply = peers.call::<_, bool>(peer, &request, timeout).await;
+                (reply == Ok(true)).then_some((peer.incarnation, next))
+            })
+        });
+        let confirmed = join_all(calls).await;
+        unconfirmed.extend(confirmed.into_iter().flatten());
+    }
+}
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -85,9 +85,16 @@
         }
     }
 
-    /// Records that the connection has failed during a request with a prompt.
+    /// Records that the connection has failed. If the server has closed it, the
+    /// request's prompt may have crashed the server, unless the server or this
+    /// router is stopping.
     fn record_lost_connection(&self, err: &ConnectionError) {
         if err.closed_by_server && !self.segments.is_empty() {
+            let now_ms = self.shared.clock.now_ms();
+            let leaving = !self.shared.placement().is_start_ready(&self.start, now_ms);
+            if !leaving && !self.shared.is_stopping() {
+                self.shared.crashes.record_end(&self.start, &self.segments);
+            }
             let ids = self
                 .segments
                 .iter()
@@ -257,6 +264,10 @@
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("server-resting"));
         }
+        if cx.is_prompt_blocked() {
+            in_flight.end(AttemptOutcome::Neutral);
+            return Err(AttemptError::NotRun("prompt-blocked"));
+        }
         let remaining = cx.time_remaining();
         if remaining.as_millis() < MIN_USEFUL_MS {
             return Err(AttemptError::NotRun("no-time-left"));
@@ -331,6 +342,14 @@
         Some(Ok(chunk))
     }
 
+    /// Records that the server has answered the request's prompt.
+    pub(super) fn record_answer(&self) {
+        if !self.in_flight.segments.is_empty() {
+            let shared = &self.in_flight.shared;
+            shared.crashes.record_answer(&self.in_flight.segments);
+        }
+    }
+
     /// Records the time to the first byte of the body.
     pub(super) fn record_first_byte(&self, cx: &RequestContext) {
         let elapsed = self.sent_at.elapsed();
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -87,6 +87,9 @@
 impl<R: ReadAnswer> Attempts<'_, R> {
     async fn run(&mut self) -> Option<R::Output> {
         let mut provisional = None;
+        let cx = self.cx;
+        let blocked = cx.wait_prompt_blocked();
+        tokio::pin!(blocked);
         while !self.running.is_empty() {
             tokio::select! {
                 // An answer that has arrived is no silence.
@@ -113,6 +116,8 @@
                         self.cx.shared.metrics.record_retry(label);
                     }
                 }
+                // The prompt crashes a server at its first token: none is needed.
+                () = &mut blocked => return None,
                 () = silence(self.reader.silence_limit(self.cx)) => {
                     if let Some(attempt) = self.newest.take() {
                         self.retry.record_silence(self.cx, &attempt);
@@ -132,6 +137,7 @@
         let cx = self.cx;
         if cx.time_remaining().is_zero()
             || !self.retry.permits_another(cx)
+            || cx.is_prompt_blocked()
             || !self.retry.may_send(cx)
         {
             return false;
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -5,6 +5,7 @@
 use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle, rest};
 use crate::{
     context::{Rejection, RequestContext},
+    crash_watch::BLOCKED_RETRY_MS,
     reason::RejectionReason,
 };
 
@@ -72,14 +73,17 @@
     }
 
     /// Returns whether the route permits another attempt beside or after those
-    /// recorded: always if no server can have run the request.
+    /// recorded: always if no server can have run the request. Once servers have
+    /// crashed under its prompt, no further one gets it.
     pub(super) fn permits_another(&self, cx: &RequestContext) -> bool {
         if self.possible_executions == 0 {
             return true;
         }
         let route = cx.route.as_ref();
         route.is_some_and(|route| {
-            route.is_retry_safe() && self.possible_executions < route.max_attempts
+            route.is_retry_safe()
+                && self.possible_executions < route.max_attempts
+                && !cx.is_prompt_suspect()
         })
     }
 
@@ -114,6 +118,12 @@
     pub(super) fn rejection(&self, cx: &RequestContext) -> Rejection {
         let after_ms = cx.shared.settings().timing.retry_after_ms;
         let late = cx.time_remaining().is_zero();
+        if cx.is_prompt_blocked() {
+            return match self.possible_executions {
+                0 => Rejection::after(RejectionReason::PromptBlocked, BLOCKED_RETRY_MS),
+                _ => Rejection::new(RejectionReason::PromptStopped),
+            };
+        }
         if self.possible_executions == 0
             && !late
             && let Some(rejection) = rest::rejection(cx, self.versions.as_deref())
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -39,6 +39,9 @@
 /// Bytes that a stream may buffer beside the memory that all responses share:
 /// enough for usual events.
 const PRIVATE_BYTES: usize = 8 * 1024;
+/// Events after which a prompt counts as answered by a server that it does not
+/// crash.
+const EVENTS_TO_ACQUIT: u64 = 4;
 /// Target gap between events if the route sets none, in milliseconds.
 const DEFAULT_GAP_MS: u64 = 500;
 
@@ -316,6 +319,9 @@
                 let repeated = id.is_some() && id <= progress.last_event_id;
                 if !repeated {
                     progress.events += 1;
+                    if progress.events == EVENTS_TO_ACQUIT {
+                        stream.response.record_answer();
+                    }
                     progress.last_event_id = id.or(progress.last_event_id);
                     record_output(&cx, progress.events);
                     longest_gap = longest_gap.max(last_event_at.elapsed());
@@ -326,6 +332,9 @@
                 }
             }
             StreamItem::End => {
+                if stream.response.framed {
+                    stream.response.record_answer();
+                }
                 stream.response.complete();
                 break "whole";
             }
--- a/crates/peridotslip-edge/src/dispatch/whole.rs
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -63,6 +63,9 @@
         *response.headers_mut() = end_to_end_headers(&from_server.headers);
         let served_by = ServedBy(from_server.server.clone());
         response.extensions_mut().insert(served_by);
+        if from_server.status.is_success() {
+            from_server.record_answer();
+        }
         from_server.complete();
         if response.status().is_server_error() {
             let error = AttemptError::MayHaveRun(response.status().to_string());
--- a/crates/peridotslip-edge/src/filters.rs
+++ b/crates/peridotslip-edge/src/filters.rs
@@ -1,5 +1,6 @@
 //! The filters that are applied to a request before it is dispatched.
 
+mod crashing_prompt;
 mod reserve;
 mod route;
 
@@ -26,6 +27,7 @@
         Arc::new(Self {
             filters: vec![
                 Box::new(route::MatchRoute),
+                Box::new(crashing_prompt::RejectCrashingPrompt),
                 Box::new(reserve::ReserveTokens),
             ],
         })
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod budgets;
 mod clock;
 mod context;
+mod crash_watch;
 mod dispatch;
 mod filters;
 mod latch;
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -134,6 +134,7 @@
         organisation: None,
         service: String::new(),
         reservation: None,
+        is_probe: false,
     };
     let id = cx.id().to_owned();
     let version = cx.index.version();
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -24,8 +24,8 @@
 
 /// The version of the messages between routers in this release. Version 1 adds
 /// the priority of a reservation, version 2 the origins of streams, version 3 what
-/// routers hold of a budget.
-pub(crate) const PROTOCOL: u32 = 3;
+/// routers hold of a budget, version 4 observations of crashed servers.
+pub(crate) const PROTOCOL: u32 = 4;
 /// How long an ended router is remembered, in milliseconds.
 const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -32,6 +32,12 @@
     /// All servers that could run the request have asked for no requests until a
     /// later time.
     ServersResting,
+    /// Servers have crashed under a segment of the prompt, and the request was not
+    /// sent.
+    PromptBlocked,
+    /// The request was given up because servers have crashed under a segment of
+    /// its prompt; a server may have run it.
+    PromptStopped,
     /// None of the servers to which attempts were made could be reached.
     ServersUnreachable,
     /// A server may have run the request, and no complete response was
@@ -59,6 +65,8 @@
             Self::VersionGone => "version-gone",
             Self::ServersFull => "servers-full",
             Self::ServersResting => "servers-resting",
+            Self::PromptBlocked => "prompt-blocked",
+            Self::PromptStopped => "prompt-stopped",
             Self::ServersUnreachable => "servers-unreachable",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
@@ -82,9 +90,10 @@
             | Self::VersionGone
             | Self::ServersFull
             | Self::ServersResting
+            | Self::PromptBlocked
             | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
-            Self::ServerBroke => StatusCode::BAD_GATEWAY,
+            Self::ServerBroke | Self::PromptStopped => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -8,7 +8,11 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use peridotslip::{forwarding::OriginReply, ids::Incarnation, ledger::GrantTransfer};
+use peridotslip::{
+    forwarding::{CrashObservation, OriginReply},
+    ids::Incarnation,
+    ledger::GrantTransfer,
+};
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
@@ -23,6 +27,7 @@
     },
     clock::Clock,
     context::SharedState,
+    crash_watch,
     filters::Chain,
     listeners, logging,
     metrics::Metrics,
@@ -125,6 +130,7 @@
             "router started"
         );
         store_watch::spawn(&shared);
+        crash_watch::spawn(&shared);
         tokio::spawn(server_versions::register_versions(shared.clone()));
         tokio::spawn(rpc::serve(peer_listener, {
             let shared = shared.clone();
@@ -177,6 +183,7 @@
     CeilingAck(CeilingAck),
     Origin(OriginReply),
     Holding(Box<HoldingReply>),
+    Crashes(Vec<CrashObservation>),
     Done(bool),
 }
 
@@ -257,6 +264,11 @@
             let reply = shared.budgets.holding_reply(&organisation).await;
             PeerResponse::Holding(Box::new(reply))
         }
+        PeerRequest::ShareCrashes(observations) => {
+            shared.crashes.merge(&observations);
+            PeerResponse::Done(true)
+        }
+        PeerRequest::FetchCrashes => PeerResponse::Crashes(shared.crashes.snapshot()),
         PeerRequest::Probe => PeerResponse::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -4,9 +4,11 @@
 //! services behind them, and the organisations whose API keys may use them.
 //! The types in this module do no I/O: [`RoutingIndex`] matches a request to a
 //! route, [`Placement`] selects a backend server, [`RetryBudget`] bounds
-//! retries, [`StreamOrigins`] holds at which software versions streams began, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
+//! retries, [`StreamOrigins`] holds at which software versions streams began,
+//! [`CrashEvidence`] finds prompts that crash servers, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
 //! orders waiting requests.
 
+mod crash_evidence;
 mod draining;
 mod index;
 mod origin;
@@ -17,6 +19,7 @@
 mod table;
 
 pub use self::{
+    crash_evidence::{BlockChange, CrashEvent, CrashEvidence, CrashObservation, PromptVerdict},
     index::{RouteMatch, RoutingIndex},
     origin::{
         MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, ServerVersion,
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::{
-    AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerState, ServerVersion,
-    draining::DrainingStarts, rest::Rests,
+    AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerStart, ServerState,
+    ServerVersion, draining::DrainingStarts, rest::Rests,
 };
 use crate::members::rendezvous_weight;
 
@@ -419,6 +419,15 @@
         tracked.is_some_and(|tracked| tracked.is_at(selected) && tracked.accepts_requests(now_ms))
     }
 
+    /// Returns whether a start of a server is known and accepts new requests.
+    #[must_use]
+    pub fn is_start_ready(&self, start: &ServerStart, now_ms: u64) -> bool {
+        let tracked = self.servers.get(&start.server);
+        tracked.is_some_and(|tracked| {
+            ServerStart::from(&tracked.server) == *start && tracked.accepts_requests(now_ms)
+        })
+    }
+
     /// Returns whether a server at `address` accepts new requests, so that another
     /// one may copy from its KV cache.
     #[must_use]
--- /dev/null
+++ b/crates/peridotslip/tests/crash_evidence.rs
@@ -0,0 +1,472 @@
+//! Prompts that crash servers: which segment is blocked, by routers that each see
+//! a part of the crashes.
+
+use std::collections::BTreeSet;
+
+use peridotslip::forwarding::{
+    BlockChange, CrashEvidence, PromptProfile, PromptSegment, PromptVerdict, ServerStart,
+};
+use proptest::prelude::*;
+
+/// The segment that crashes servers.
+const BAD: u64 = 0xbad;
+/// A segment before it that sound prompts share.
+const FIRST: u64 = 0xf0;
+/// Crashes under a segment after which its prompts are blocked.
+const CRASHES_TO_BLOCK: u64 = 4;
+/// Time after which a decisive crash takes effect, in milliseconds.
+const SETTLED_MS: u64 = 300;
+const MINUTE_MS: u64 = 60_000;
+
+fn start(number: u64) -> ServerStart {
+    ServerStart {
+        server: format!("e{number}"),
+        address: format!("e{number}.example:80"),
+        started_ms: 1,
+    }
+}
+
+fn segments(ids: &[u64]) -> Vec<PromptSegment> {
+    let ids = ids.iter().copied().zip(0..);
+    ids.map(|(id, position)| PromptSegment { id, position })
+        .collect()
+}
+
+/// Returns a prompt with these segments and a last one of its own.
+fn prompt(ids: &[u64]) -> PromptProfile {
+    let shared = ids.iter().map(|id| (*id, 100));
+    PromptProfile {
+        segments: shared.chain([(0x9999, 50)]).collect(),
+        prompt_tokens: 500,
+    }
+}
+
+/// Returns evidence of `count` crashes under the segments, 100 ms apart from 1,000
+/// ms on, assessed after each.
+fn crashed(ids: &[u64], count: u64) -> CrashEvidence {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..count {
+        crash(&mut evidence, number, ids, 1_000 + number * 100);
+    }
+    evidence
+}
+
+fn crash(evidence: &mut CrashEvidence, number: u64, ids: &[u64], now_ms: u64) {
+    evidence.record_end(&start(number), &segments(ids), now_ms);
+    evidence.assess(now_ms);
+}
+
+fn verdict(evidence: &mut CrashEvidence, ids: &[u64], now_ms: u64) -> PromptVerdict {
+    evidence.assess(now_ms);
+    evidence.verdict(&prompt(ids))
+}
+
+#[test]
+fn a_segment_is_suspect_after_two_crashes_and_blocked_after_four() {
+    let expected = [
+        (0, PromptVerdict::Clear),
+        (1, PromptVerdict::Clear),
+        (2, PromptVerdict::Suspect),
+        (3, PromptVerdict::Suspect),
+        (4, PromptVerdict::Blocked(BAD)),
+    ];
+    for (count, expected) in expected {
+        let mut evidence = crashed(&[FIRST, BAD], count);
+
+        let found = verdict(&mut evidence, &[FIRST, BAD], 2_000);
+
+        assert_eq!(found, expected, "{count} crashes");
+    }
+}
+
+#[test]
+fn a_segment_is_blocked_only_after_answers_have_had_time() {
+    let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
+    let last_ms = 1_000 + (CRASHES_TO_BLOCK - 1) * 100;
+
+    let before = verdict(&mut evidence, &[BAD], last_ms + 200);
+    let changes = evidence.assess(last_ms + SETTLED_MS);
+
+    assert_eq!(before, PromptVerdict::Suspect);
+    let crashes = 4;
+    assert_eq!(
+        changes,
+        [BlockChange::Blocked {
+            segment: BAD,
+            crashes
+        }]
+    );
+}
+
+#[test]
+fn the_last_segment_of_a_prompt_does_not_count() {
+    let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
+    let last = PromptProfile {
+        segments: vec![(0x11, 100), (BAD, 100)],
+        prompt_tokens: 200,
+    };
+
+    evidence.assess(2_000);
+
+    assert_eq!(evidence.verdict(&last), PromptVerdict::Clear);
+}
+
+#[test]
+fn an_answer_acquits_a_segment_of_the_crashes_before_it() {
+    let mut evidence = crashed(&[FIRST], 3);
+    evidence.record_answer(&segments(&[FIRST]), 1_250);
+
+    for number in 3..6 {
+        crash(&mut evidence, number, &[FIRST], 1_000 + number * 100);
+        assert_ne!(
+            verdict(&mut evidence, &[FIRST], 2_000),
+            PromptVerdict::Blocked(FIRST)
+        );
+    }
+    crash(&mut evidence, 6, &[FIRST], 1_600);
+
+    assert_eq!(
+        verdict(&mut evidence, &[FIRST], 2_000),
+        PromptVerdict::Blocked(FIRST)
+    );
+}
+
+#[test]
+fn ends_of_one_start_count_once() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..10 {
+        crash(&mut evidence, 1, &[BAD], 1_000 + number * 100);
+    }
+
+    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), PromptVerdict::Clear);
+}
+
+#[test]
+fn simultaneous_ends_of_many_servers_count_once() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..40 {
+        crash(&mut evidence, number, &[BAD], 1_000 + number);
+    }
+
+    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), PromptVerdict::Clear);
+}
+
+#[test]
+fn of_segments_that_are_always_together_the_unanswered_one_is_blocked() {
+    for (sound, bad) in [(&[FIRST, BAD], BAD), (&[BAD, FIRST], BAD)] {
+        let mut evidence = CrashEvidence::default();
+        evidence.record_answer(&segments(&[FIRST]), 100);
+        for number in 0..CRASHES_TO_BLOCK {
+            crash(&mut evidence, number, sound, 1_000 + number * 100);
+        }
+
+        assert_eq!(
+            verdict(&mut evidence, &[bad], 2_000),
+            PromptVerdict::Blocked(bad)
+        );
+        assert_eq!(
+            verdict(&mut evidence, &[FIRST], 2_000),
+            PromptVerdict::Clear
+        );
+    }
+}
+
+#[test]
+fn of_segments_that_were_never_answered_the_later_one_is_blocked() {
+    let mut evidence = crashed(&[FIRST, BAD], CRASHES_TO_BLOCK);
+
+    assert_eq!(
+        verdict(&mut evidence, &[BAD], 2_000),
+        PromptVerdict::Blocked(BAD)
+    );
+    assert_eq!(
+        verdict(&mut evidence, &[FIRST], 2_000),
+        PromptVerdict::Clear
+    );
+}
+
+/// Guards against a wrong segment that stays blocked after the right one is found.
+#[test]
+fn a_blocked_segment_is_released_when_another_explains_its_crashes() {
+    let bystander = 0x77;
+    let mut evidence = crashed(&[BAD, bystander], CRASHES_TO_BLOCK);
+    assert_eq!(
+        verdict(&mut evidence, &[bystander], 2_000),
+        PromptVerdict::Blocked(bystander)
+    );
+
+    evidence.record_end(&start(10), &segments(&[BAD, 0x78]), 2_100);
+    let changes = evidence.assess(2_500);
+
+    assert!(
+        changes.contains(&BlockChange::Released(bystander)),
+        "{changes:?}"
+    );
+    assert_eq!(
+        verdict(&mut evidence, &[BAD], 2_500),
+        PromptVerdict::Blocked(BAD)
+    );
+    assert_eq!(
+        verdict(&mut evidence, &[bystander], 2_500),
+        PromptVerdict::Clear
+    );
+}
+
+#[test]
+fn two_bad_segments_are_both_blocked() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..8 {
+        let bad = BAD + number % 2;
+        crash(&mut evidence, number, &[bad], 1_000 + number * 100);
+    }
+
+    for bad in [BAD, BAD + 1] {
+        assert_eq!(
+            verdict(&mut evidence, &[bad], 3_000),
+            PromptVerdict::Blocked(bad)
+        );
+    }
+}
+
+/// Guards against BUDGET: routers that each see one or two ends would not block.
+#[test]
+fn routers_that_each_see_one_end_block_together_and_so_does_one_that_starts() {
+    let mut routers: Vec<CrashEvidence> = (0..4).map(|_| CrashEvidence::default()).collect();
+    for (router, number) in routers.iter_mut().zip(0..) {
+        router.record_end(
+            &start(number),
+            &segments(&[FIRST, BAD]),
+            1_000 + number * 100,
+        );
+    }
+    let shared: Vec<_> = routers
+        .iter()
+        .map(|router| router.own_since(0, 2_000).1)
+        .collect();
+    for (number, router) in routers.iter_mut().enumerate() {
+        let others = shared
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != number);
+        for (_, observations) in others {
+            // A repeated message has no further effect.
+            router.merge(observations, 2_000);
+            router.merge(observations, 2_000);
+        }
+    }
+    let mut late = CrashEvidence::default();
+    // Its clock has just begun.
+    late.merge(&routers[0].snapshot(2_000), 5);
+
+    for router in &mut routers {
+        assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
+    }
+    assert_eq!(verdict(&mut late, &[BAD], 10), PromptVerdict::Blocked(BAD));
+}
+
+#[test]
+fn an_answer_that_another_router_saw_acquits() {
+    let mut evidence = crashed(&[FIRST], CRASHES_TO_BLOCK);
+    let mut other = CrashEvidence::default();
+    other.merge(&evidence.own_since(0, 1_400).1, 1_400);
+    other.record_answer(&segments(&[FIRST]), 1_450);
+
+    evidence.merge(&other.own_since(0, 1_500).1, 1_500);
+
+    assert_eq!(
+        verdict(&mut evidence, &[FIRST], 2_000),
+        PromptVerdict::Clear
+    );
+}
+
+#[test]
+fn probes_are_few_and_a_block_ends_with_an_answer() {
+    let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
+    evidence.assess(2_000);
+    let mut probes = Vec::new();
+
+    for minute in 1..110 {
+        let now_ms = minute * MINUTE_MS;
+        if evidence.begin_probe(BAD, now_ms) {
+            probes.push(minute);
+            crash(&mut evidence, 100 + minute, &[BAD], now_ms + 100);
+        }
+        evidence.assess(now_ms + 200);
+        assert_eq!(
+            evidence.verdict(&prompt(&[BAD])),
+            PromptVerdict::Blocked(BAD)
+        );
+    }
+
+    assert_eq!(probes.len(), 3, "{probes:?}");
+    assert!(probes[0] >= 5 && probes[1] >= probes[0] + 15, "{probes:?}");
+    evidence.record_answer(&segments(&[BAD]), 110 * MINUTE_MS);
+    assert_eq!(
+        verdict(&mut evidence, &[BAD], 111 * MINUTE_MS),
+        PromptVerdict::Clear
+    );
+}
+
+#[test]
+fn one_probe_is_made_at_a_time() {
+    let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
+    evidence.assess(2_000);
+
+    let probes = (0..100).filter(|number| evidence.begin_probe(BAD, 6 * MINUTE_MS + number));
+
+    assert_eq!(probes.count(), 1);
+}
+
+#[test]
+fn evidence_is_forgotten_after_hours() {
+    let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
+    evidence.assess(2_000);
+
+    let found = verdict(&mut evidence, &[BAD], 121 * MINUTE_MS);
+
+    assert_eq!(found, PromptVerdict::Clear);
+}
+
+/// A request that is in flight at a server.
+#[derive(Clone, Copy)]
+struct Running {
+    router: usize,
+    server: usize,
+    sent_ms: u64,
+    ends_ms: u64,
+    segments: [u64; 2],
+}
+
+/// A server: up from the time, in milliseconds, with the number of its start.
+#[derive(Clone, Copy)]
+struct Engine {
+    up_ms: u64,
+    start: u64,
+}
+
+/// Time that a server takes for the first token, in milliseconds.
+const FIRST_TOKEN_MS: u64 = 75;
+/// Time after which an answer acquits, in milliseconds.
+const ACQUITS_MS: u64 = 150;
+/// Time for which a crashed server is down, in milliseconds.
+const DOWN_MS: u64 = 4_000;
+/// Interval between two messages to a peer, in milliseconds.
+const SHARE_MS: u64 = 100;
+/// Time after the fifth crash from which on few requests may be sent.
+const STABLE_MS: u64 = 3_000;
+const STEP_MS: u64 = 5;
+const DAY_MS: u64 = 12_000;
+
+/// Returns a random index below `len`.
+fn pick(next: &mut impl FnMut(u64) -> u64, len: usize) -> usize {
+    usize::try_from(next(u64::try_from(len).unwrap())).unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// Guards against BUDGET and LOST: whatever the traffic, few requests with the
+    /// bad segment are sent after the fifth crash, and no other segment stays
+    /// blocked.
+    #[test]
+    fn fleets_block_the_bad_segment_and_no_other(
+        routers in 1_usize..10,
+        engines in 6_usize..16,
+        bad_gap_ms in 80_u64..1_500,
+        first_segments in 1_u64..6,
+        seed in any::<u64>(),
+    ) {
+        let mut random = seed | 1;
+        let mut next = |below: u64| {
+            // A linear congruential generator is random enough here.
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (random >> 33) % below
+        };
+        let mut fleet = vec![CrashEvidence::default(); routers];
+        let mut confirmed = vec![vec![0; routers]; routers];
+        let mut servers: Vec<Engine> =
+            (0..engines).map(|start| Engine { up_ms: 0, start: start as u64 }).collect();
+        let mut starts = engines as u64;
+        let mut running: Vec<Running> = Vec::new();
+        let (mut crashes, mut late, mut last_blocked) = (Vec::new(), 0, BTreeSet::new());
+        let mut next_bad_ms = 3_000;
+
+        for now_ms in (0..DAY_MS / STEP_MS).map(|step| step * STEP_MS) {
+            // One sound request a step, and a bad one now and then.
+            let mut arriving = vec![[0x100 + next(first_segments), 0x200 + next(60)]];
+            if now_ms >= next_bad_ms {
+                next_bad_ms = now_ms + bad_gap_ms / 2 + next(bad_gap_ms);
+                arriving.push([0x100, BAD]);
+            }
+            for segments in arriving {
+                let router = pick(&mut next, routers);
+                let up: Vec<usize> = (0..engines).filter(|server| servers[*server].up_ms <= now_ms).collect();
+                let blocked = matches!(
+                    fleet[router].verdict(&prompt(&segments)),
+                    PromptVerdict::Blocked(_)
+                );
+                if blocked || up.is_empty() {
+                    continue;
+                }
+                let is_bad = segments[1] == BAD;
+                if is_bad && crashes.get(4).is_some_and(|fifth| now_ms > fifth + STABLE_MS) {
+                    late += 1;
+                }
+                let lasts_ms = if is_bad { FIRST_TOKEN_MS } else { 200 + next(1_500) };
+                let server = up[pick(&mut next, up.len())];
+                running.push(Running { router, server, sent_ms: now_ms, ends_ms: now_ms + lasts_ms, segments });
+            }
+            for request in &running {
+                if now_ms == request.sent_ms + ACQUITS_MS {
+                    fleet[request.router].record_answer(&segments(&request.segments), now_ms);
+                }
+            }
+            let ending: Vec<usize> = running
+                .iter()
+                .filter(|request| request.ends_ms <= now_ms && request.segments[1] == BAD)
+                .map(|request| request.server)
+                .collect();
+            for server in ending {
+                if servers[server].up_ms > now_ms {
+                    continue;
+                }
+                crashes.push(now_ms);
+                let ended = running.iter().filter(|request| request.server == server);
+                for request in ended {
+                    let start = start(servers[server].start);
+                    fleet[request.router].record_end(&start, &segments(&request.segments), now_ms);
+                }
+                running.retain(|request| request.server != server);
+                servers[server] = Engine { up_ms: now_ms + DOWN_MS, start: starts };
+                starts += 1;
+            }
+            running.retain(|request| request.ends_ms > now_ms);
+            if now_ms % SHARE_MS == 0 {
+                for from in 0..routers {
+                    for to in (0..routers).filter(|to| *to != from) {
+                        let (seq, observations) = fleet[from].own_since(confirmed[from][to], now_ms);
+                        confirmed[from][to] = seq;
+                        fleet[to].merge(&observations, now_ms);
+                    }
+                }
+            }
+            for evidence in &mut fleet {
+                for change in evidence.assess(now_ms) {
+                    match change {
+                        BlockChange::Blocked { segment, .. } => last_blocked.insert(segment),
+                        BlockChange::Released(segment) => last_blocked.remove(&segment),
+                    };
+                }
+            }
+        }
+
+        prop_assert!(late <= 3, "{late} requests after the fifth crash; {} crashes", crashes.len());
+        if crashes.len() >= 5 {
+            for evidence in &fleet {
+                prop_assert_eq!(evidence.verdict(&prompt(&[BAD])), PromptVerdict::Blocked(BAD));
+            }
+        }
+        let others: Vec<u64> = last_blocked.into_iter().filter(|segment| *segment != BAD).collect();
+        prop_assert!(others.is_empty(), "also blocked: {others:x?}");
+    }
+}
