Treat a stream that ends with its connection before its first event as broken off

Found while looking for other ends of connections.

Change: a stream without chunks that ends before its first event is broken off, and it and one that ends inside an event count as an end of the server.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -342,6 +342,17 @@
         Some(Ok(chunk))
     }
 
+    /// Records that an incomplete body has ended with its connection, if it has
+    /// no other end.
+    pub(super) fn record_unframed_end(&self, reason: &str) {
+        if !self.framed {
+            self.in_flight.record_lost_connection(&ConnectionError {
+                reason: reason.to_owned(),
+                closed_by_server: true,
+            });
+        }
+    }
+
     /// Records that the server has answered the request's prompt.
     pub(super) fn record_answer(&self) {
         if !self.in_flight.segments.is_empty() {
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -59,6 +59,8 @@
     framer: EventFramer,
     /// Shared memory of the framer's bytes beyond [`PRIVATE_BYTES`].
     share: MemoryShare,
+    /// Whether an event has been read.
+    any_event: bool,
 }
 
 /// An event and the shared memory that it holds until it has been sent.
@@ -79,6 +81,7 @@
             response,
             framer: EventFramer::default(),
             share: cx.shared.response_memory.share(),
+            any_event: false,
         }
     }
 
@@ -110,18 +113,28 @@
         Some(Bytes::from_owner(held))
     }
 
+    /// Returns the item for a stream that the server has broken off.
+    fn broken_off(&self, reason: &str) -> StreamItem {
+        self.response.record_unframed_end(reason);
+        StreamItem::Broken(reason.to_owned())
+    }
+
     /// Reads the next item, for up to `limit`.
     async fn next(&mut self, limit: Duration) -> StreamItem {
         let until = tokio::time::Instant::now() + limit;
         loop {
             if let Some(event) = self.next_buffered() {
+                self.any_event = true;
                 return StreamItem::Event(event);
             }
             let chunk = tokio::time::timeout_at(until, self.response.chunk()).await;
             match chunk {
                 Err(_) => return StreamItem::TimedOut,
                 Ok(None) if self.framer.is_partial() => {
-                    return StreamItem::Broken("ended within an event".to_owned());
+                    return self.broken_off("ended within an event");
+                }
+                Ok(None) if !self.any_event && !self.response.framed => {
+                    return self.broken_off("ended before the first event");
                 }
                 Ok(None) => return StreamItem::End,
                 Ok(Some(Err(reason))) => return StreamItem::Broken(reason),
