Count only requests that are written in the retry budget

Cause: an attempt drew on the retry budget when its server was selected, also if no connection could be opened or the server had left or asked for a rest meanwhile. Ruled out: the platform's own count, which takes what arrives.

Change: the attempt counts its send right before it writes the request, and takes the count back if the connection was closed before.

Result: attempts_that_are_never_sent_use_no_retry_budget failed before (503 at request 0), passes now; answers, rest and silence pass.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -21,7 +21,12 @@
     ledger::RequestUsage,
 };
 
-use super::{AttemptError, UNREACHABLE, rest::record_rest, retry::RetryState, update_usage};
+use super::{
+    AttemptError, UNREACHABLE,
+    rest::record_rest,
+    retry::{RetryState, SendCounter},
+    update_usage,
+};
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
@@ -142,6 +147,7 @@
     /// Address of an engine from which the KV cache of the prompt's prefix can
     /// be copied.
     kv_source: Option<&'a str>,
+    sends: &'a SendCounter,
 }
 
 /// A server that has been selected for an attempt. The request counts as in
@@ -192,6 +198,7 @@
         self,
         cx: &RequestContext,
         last_event_id: Option<u64>,
+        sends: &SendCounter,
     ) -> Result<ServerResponse, AttemptError> {
         let Self {
             mut in_flight,
@@ -201,6 +208,7 @@
         let options = SendOptions {
             last_event_id,
             kv_source: selected.kv_source.as_deref(),
+            sends,
         };
         let (connection, response, metadata, sent_at) =
             ServerResponse::exchange(cx, &server, &options, &mut in_flight).await?;
@@ -280,12 +288,14 @@
             }
         };
         let sent_at = Instant::now();
+        let counted = options.sends.count(cx);
         update_usage(cx, |usage| {
             usage.record_send(cx.metadata.prompt.prompt_tokens);
         });
         let response = match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(SendResult::Response(response)) => response,
             Ok(SendResult::Unwritten) => {
+                options.sends.undo(cx, counted);
                 update_usage(cx, RequestUsage::record_not_run);
                 in_flight.end(AttemptOutcome::Neutral);
                 return Err(AttemptError::NotRun("connection-closed"));
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -145,13 +145,13 @@
         let Some(attempt) = SelectedAttempt::select(cx, self.retry) else {
             return false;
         };
-        self.retry.count_send(cx);
         let handle = attempt.handle();
         let server = handle.server.clone();
         self.newest = Some(handle);
         let (reader, last_event_id) = (self.reader, self.last_event_id);
+        let sends = self.retry.sends();
         self.running.push(Box::pin(async move {
-            let outcome = match attempt.send(cx, last_event_id).await {
+            let outcome = match attempt.send(cx, last_event_id, &sends).await {
                 Ok(response) => reader.read(cx, response).await,
                 Err(error) => Err(error),
             };
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -1,6 +1,11 @@
 //! What the attempts of a request permit next.
 
-use peridotslip::forwarding::{ServerId, ServerVersion};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use peridotslip::forwarding::{RetryBudget, ServerId, ServerVersion};
 
 use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle, rest};
 use crate::{
@@ -24,8 +29,55 @@
     reached: bool,
     /// Number of attempts in which the server may have run the request.
     possible_executions: u32,
-    /// Whether the first send has been counted in the retry budget.
-    first_send_counted: bool,
+    sends: SendCounter,
+}
+
+/// Counts the sends of one request in the retry budget: those that are written to a
+/// server.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SendCounter {
+    /// Whether the first send has been counted.
+    first: Arc<AtomicBool>,
+}
+
+/// A counted send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CountedSend {
+    First,
+    Retry,
+}
+
+impl SendCounter {
+    fn has_sent(&self) -> bool {
+        self.first.load(Ordering::Relaxed)
+    }
+
+    /// Counts a send that is about to be written.
+    pub(super) fn count(&self, cx: &RequestContext) -> CountedSend {
+        let now_ms = cx.shared.clock.now_ms();
+        let retry = self.first.swap(true, Ordering::Relaxed);
+        cx.shared.with_retry_budget(&cx.service, |budget| {
+            if retry {
+                budget.withdraw(now_ms);
+                CountedSend::Retry
+            } else {
+                budget.deposit();
+                CountedSend::First
+            }
+        })
+    }
+
+    /// Takes back a send that has turned out not to be written.
+    pub(super) fn undo(&self, cx: &RequestContext, send: CountedSend) {
+        match send {
+            // The next send deposits again, which overstates the budget by the
+            // ratio of one request.
+            CountedSend::First => self.first.store(false, Ordering::Relaxed),
+            CountedSend::Retry => cx
+                .shared
+                .with_retry_budget(&cx.service, RetryBudget::refund),
+        }
+    }
 }
 
 impl RetryState {
@@ -91,7 +143,7 @@
     /// allowed; each further one needs the retry budget.
     pub(super) fn may_send(&self, cx: &RequestContext) -> bool {
         let now_ms = cx.shared.clock.now_ms();
-        let allowed = !self.first_send_counted
+        let allowed = !self.sends.has_sent()
             || cx
                 .shared
                 .with_retry_budget(&cx.service, |budget| budget.permits_retry(now_ms));
@@ -101,17 +153,10 @@
         allowed
     }
 
-    /// Counts a send that [`may_send`](Self::may_send) has allowed.
-    pub(super) fn count_send(&mut self, cx: &RequestContext) {
-        let now_ms = cx.shared.clock.now_ms();
-        cx.shared.with_retry_budget(&cx.service, |budget| {
-            if self.first_send_counted {
-                budget.withdraw(now_ms);
-            } else {
-                budget.deposit();
-            }
-        });
-        self.first_send_counted = true;
+    /// Returns the counter for the sends that [`may_send`](Self::may_send) has
+    /// allowed.
+    pub(super) fn sends(&self) -> SendCounter {
+        self.sends.clone()
     }
 
     /// Returns the rejection that the caller gets after the last attempt.
--- a/crates/peridotslip/src/forwarding/retry_budget.rs
+++ b/crates/peridotslip/src/forwarding/retry_budget.rs
@@ -56,6 +56,11 @@
         true
     }
 
+    /// Returns a retry that was taken and not made.
+    pub fn refund(&mut self) {
+        self.balance = (self.balance + 1.0).min(self.max_balance());
+    }
+
     /// Returns the highest balance. Without a bound, a long time without failures
     /// would allow a burst of retries.
     fn max_balance(&self) -> f64 {
