Keep the limits that servers name over all routers together

Cause (LIMIT): a server in need names in its responses how many requests a second it takes from all machines; no code read it, and each router went on as before (12 requests in 4 s before, 14 after a limit of 1). Ruled out: first bursts and retries (timeline); a fix by each router alone, which would give 7 a second at 7 routers and 73 at 73.

Change: the adapter decodes the limit; forwarding/rate_limit.rs keeps it by server start, gives out permits and orders responses that overtake; server_limits.rs asks the one router that gives out a server's permits before a request is written, denies it elsewhere, publishes changes. A server without a permit is not selected, also not as the last resort; if none is left, callers get servers-limited at once. A starting router reads limits and crashes from its peers (peer_state.rs, moved out of crash_watch.rs). Why this works: told routers send to the server only with a permit, and permits come at the rate of the limit from one place; a router that takes over begins with one.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -1,7 +1,7 @@
 //! The requests between routers, and the replies about budgets.
 
 use peridotslip::{
-    forwarding::{CrashObservation, StreamOrigin},
+    forwarding::{CrashObservation, LimitNews, StreamOrigin},
     ids::{BudgetName, Incarnation, OrganisationName},
     ledger::GrantTransfer,
 };
@@ -78,6 +78,12 @@
     /// Asks for all that the router knows of servers that have ended under
     /// prompts.
     FetchCrashes,
+    /// Asks for a permit for a request to a server with a limit.
+    TakePermit(LimitNews),
+    /// Delivers changes of servers' limits.
+    ShareLimits(Vec<LimitNews>),
+    /// Asks for all limits of servers that the router knows.
+    FetchLimits,
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -112,9 +118,11 @@
             | Self::FetchHolding(_)
             | Self::ShareCrashes(_)
             | Self::FetchCrashes
+            | Self::ShareLimits(_)
+            | Self::FetchLimits
             | Self::Probe => true,
-            // Each reply issues a transfer of its own.
-            Self::RequestTransfer { .. } => false,
+            // Each reply issues a transfer or a permit of its own.
+            Self::RequestTransfer { .. } | Self::TakePermit(_) => false,
         }
     }
 }
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -59,6 +59,8 @@
     retry_budgets: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) store_availability: StoreAvailability,
     pub(crate) stopping: AtomicBool,
+    /// Whether the peers' observations have been read since the start.
+    pub(crate) peer_state_loaded: AtomicBool,
     pub(crate) open_requests: AtomicUsize,
 }
 
@@ -88,6 +90,7 @@
             retry_budgets: Mutex::default(),
             store_availability: StoreAvailability::new(),
             stopping: AtomicBool::new(false),
+            peer_state_loaded: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         }
     }
@@ -136,13 +139,13 @@
     }
 
     /// Returns whether this router can serve requests: it is not stopping, has a
-    /// routing table, knows at least one server and has the peers' observations of
-    /// crashes.
+    /// routing table, knows at least one server and has read its peers'
+    /// observations.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
             && self.index().version() > 0
             && !self.placement().is_empty()
-            && self.crashes.is_loaded()
+            && self.peer_state_loaded.load(Ordering::Relaxed)
     }
 
     /// Runs `f` on the retry budget of `service`.
--- a/crates/peridotslip-edge/src/crash_watch.rs
+++ b/crates/peridotslip-edge/src/crash_watch.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -20,16 +20,8 @@
 };
 use tokio::sync::watch;
 
-use crate::{
-    budgets::PeerRequest,
-    clock::Clock,
-    context::SharedState,
-    peers::{Peers, RouterInstance},
-};
+use crate::{budgets::PeerRequest, clock::Clock, context::SharedState, peers::Peers};
 
-/// The first version of the messages between routers that has the messages
-/// about crashes.
-const MIN_PROTOCOL: u32 = 4;
 /// When the caller of a blocked prompt may retry, in milliseconds: not before a
 /// probe can have acquitted it.
 pub(crate) const BLOCKED_RETRY_MS: u64 = 5 * 60 * 1_000;
@@ -37,22 +29,8 @@
 const ASSESS_INTERVAL_MS: u64 = 50;
 /// A router whose last assessment is longer ago has been paused, in milliseconds.
 const PAUSED_MS: u64 = 500;
-/// Shortest interval between two messages to a peer, in milliseconds.
-const MIN_SHARE_INTERVAL_MS: u64 = 100;
-/// Interval between two messages to a peer, for each router of the fleet, in
-/// milliseconds. Bounds how many messages a router gets.
-const SHARE_INTERVAL_PER_ROUTER_MS: u64 = 10;
-/// Longest interval between two messages to a peer, in milliseconds.
-const MAX_SHARE_INTERVAL_MS: u64 = 1_000;
 /// Longest wait for a peer's reply, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 250;
-/// Number of peers that a starting router asks at the same time.
-const ASKED_PEERS: usize = 3;
-/// Longest time for which a starting router with a routing table waits for its
-/// peers' observations, in milliseconds.
-const LOAD_TIMEOUT_MS: u64 = 2_000;
-/// Interval between two checks of a starting router for peers, in milliseconds.
-const LOAD_POLL_MS: u64 = 20;
 
 /// The evidence that this router has, its own and that of its peers.
 pub(crate) struct CrashWatch {
@@ -61,7 +39,6 @@
     /// Notifies of changes of the blocked segments.
     blocks_changed: watch::Sender<()>,
     assessed_ms: AtomicU64,
-    loaded: AtomicBool,
 }
 
 impl CrashWatch {
@@ -71,7 +48,6 @@
             clock,
             blocks_changed: watch::Sender::new(()),
             assessed_ms: AtomicU64::new(clock.now_ms()),
-            loaded: AtomicBool::new(false),
         }
     }
 
@@ -128,12 +104,8 @@
         }
     }
 
-    /// Returns whether the peers' observations have been read since the start.
-    pub(crate) fn is_loaded(&self) -> bool {
-        self.loaded.load(Ordering::Relaxed)
-    }
-
-    fn assess(&self) {
+    /// Assesses all observations, and applies and logs what has changed.
+    pub(crate) fn assess(&self) {
         let now_ms = self.clock.now_ms();
         self.assessed_ms.store(now_ms, Ordering::Relaxed);
         let changes = self.lock().assess(now_ms);
@@ -155,7 +127,6 @@
 
 /// Assesses and shares observations until the process ends.
 pub(crate) fn spawn(shared: &Arc<SharedState>) {
-    tokio::spawn(load(shared.clone()));
     tokio::spawn(share(shared.clone()));
     let shared = shared.clone();
     tokio::spawn(async move {
@@ -166,66 +137,20 @@
     });
 }
 
-fn knows_crashes(peer: &RouterInstance) -> bool {
-    peer.protocol >= MIN_PROTOCOL
-}
-
-/// Reads the observations of peers after the start.
-async fn load(shared: Arc<SharedState>) {
-    let peers = &shared.peers;
-    let poll = Duration::from_millis(LOAD_POLL_MS);
-    while !peers.is_synced() && shared.index().version() == 0 {
-        tokio::time::sleep(poll).await;
-    }
-    let timeout = Duration::from_millis(LOAD_TIMEOUT_MS);
-    let loaded = tokio::time::timeout(timeout, async {
-        while !peers.is_synced() {
-            tokio::time::sleep(poll).await;
-        }
-        // A peer that does not reply is marked unreachable and not asked again.
-        loop {
-            let mut asked = peers.ranked(&peers.local().vm, false);
-            asked.retain(knows_crashes);
-            asked.truncate(ASKED_PEERS);
-            let replies = asked.iter().map(|peer| {
-                let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-                peers.call::<_, Vec<CrashObservation>>(peer, &PeerRequest::FetchCrashes, timeout)
-            });
-            let replies = join_all(replies).await;
-            let any_replied = replies.iter().any(Result::is_ok);
-            for observations in replies.into_iter().flatten() {
-                shared.crashes.merge(&observations);
-            }
-            if asked.is_empty() || any_replied {
-                return;
-            }
-        }
-    });
-    if loaded.await.is_err() {
-        log::warn!("no peer replied with observations of crashed servers; starting without them");
-    }
-    shared.crashes.assess();
-    shared.crashes.loaded.store(true, Ordering::Relaxed);
-}
-
 /// Sends this router's observations to its peers.
 async fn share(shared: Arc<SharedState>) {
     let (peers, crashes) = (&shared.peers, &shared.crashes);
     // The first observation that a router has not yet confirmed.
     let mut unconfirmed: HashMap<Incarnation, u64> = HashMap::new();
     loop {
-        let fleet = u64::try_from(peers.fleet_size()).unwrap_or(u64::MAX);
-        let interval_ms = fleet
-            .saturating_mul(SHARE_INTERVAL_PER_ROUTER_MS)
-            .clamp(MIN_SHARE_INTERVAL_MS, MAX_SHARE_INTERVAL_MS);
-        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        tokio::time::sleep(peers.share_interval()).await;
         let next_seq = crashes.lock().next_seq();
         let others = peers.others();
         unconfirmed
             .retain(|incarnation, _| others.iter().any(|peer| peer.incarnation == *incarnation));
         let calls = others.iter().filter_map(|peer| {
             let from = unconfirmed.get(&peer.incarnation).copied().unwrap_or(0);
-            let due = from < next_seq && knows_crashes(peer) && peers.is_reachable(peer);
+            let due = from < next_seq && peer.shares_observations() && peers.is_reachable(peer);
             due.then_some(async move {
                 let (next, observations) = crashes.lock().own_since(from, crashes.clock.now_ms());
                 let request = PeerRequest::ShareCrashes(observations);
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -30,9 +30,12 @@
 use crate::{
     context::{RequestContext, SharedState},
     ports::{ResponseMetadata, UpstreamRequestMetadata},
+    server_limits::{self, Permit},
     upstream::{AcquireError, ConnectionError, PooledConnection, SendResult},
 };
 
+/// The server's limit admits no request now.
+const SERVER_LIMITED: AttemptError = AttemptError::NotRun("server-limited");
 /// Connections to a server that a router may open even if its share of the
 /// limit is smaller.
 const MIN_CONNECTIONS: usize = 4;
@@ -249,6 +252,11 @@
         ),
         AttemptError,
     > {
+        let mut permit = server_limits::obtain_permit(cx, server).await;
+        if permit == Permit::Denied {
+            in_flight.end(AttemptOutcome::Neutral);
+            return Err(SERVER_LIMITED);
+        }
         let max_connections = connection_limit(cx);
         let mut connection = match cx.shared.upstream.acquire(server, max_connections).await {
             Ok(connection) => connection,
@@ -272,6 +280,14 @@
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("server-resting"));
         }
+        if permit == Permit::NotNeeded {
+            permit = server_limits::obtain_permit(cx, server).await;
+        }
+        if permit == Permit::Denied {
+            connection.release(None);
+            in_flight.end(AttemptOutcome::Neutral);
+            return Err(SERVER_LIMITED);
+        }
         if cx.is_prompt_blocked() {
             in_flight.end(AttemptOutcome::Neutral);
             return Err(AttemptError::NotRun("prompt-blocked"));
@@ -288,6 +304,7 @@
             }
         };
         let sent_at = Instant::now();
+        let sent_ms = cx.shared.clock.now_ms();
         let counted = options.sends.count(cx);
         update_usage(cx, |usage| {
             usage.record_send(cx.metadata.prompt.prompt_tokens);
@@ -318,6 +335,9 @@
         if metadata.leaving {
             record_leaving(cx, server, &metadata);
         }
+        if !metadata.wrong_server {
+            server_limits::record_notice(&cx.shared, server, metadata.limit, sent_ms);
+        }
         let checked = check_response(cx, server, &response, &metadata, in_flight);
         if matches!(checked, Err(AttemptError::NotRun(_))) {
             update_usage(cx, RequestUsage::record_not_run);
--- a/crates/peridotslip-edge/src/dispatch/rest.rs
+++ b/crates/peridotslip-edge/src/dispatch/rest.rs
@@ -1,4 +1,4 @@
-//! Servers that ask for no requests for some time.
+//! Servers that ask for no requests for some time, or for few.
 
 use std::time::Duration;
 
@@ -9,6 +9,9 @@
     reason::RejectionReason,
 };
 
+/// Shortest time after which a caller that no server's limit admits is told to
+/// retry, in milliseconds.
+const MIN_LIMITED_RETRY_MS: u64 = 500;
 /// Upper bound on how long after the end of a rest a caller is told to retry, in
 /// milliseconds. Spreads the callers that return.
 const RETRY_SPREAD_MS: u64 = 500;
@@ -25,7 +28,7 @@
 }
 
 /// Returns the rejection of a request that no server has run, if all servers
-/// that could run it rest.
+/// that could run it rest or have a limit that admits none now.
 pub(super) fn rejection(
     cx: &RequestContext,
     versions: Option<&[ServerVersion]>,
@@ -37,10 +40,15 @@
         versions,
     };
     let now_ms = cx.shared.clock.now_ms();
-    let end_ms = cx
-        .shared
-        .placement()
-        .earliest_rest_end_ms(&selection, now_ms)?;
+    let placement = cx.shared.placement();
+    let resting = placement.earliest_rest_end_ms(&selection, now_ms);
+    let resting = resting.map(|end_ms| (RejectionReason::ServersResting, end_ms));
+    let (reason, end_ms) = resting.or_else(|| {
+        let end_ms = placement.earliest_limited_ms(&selection, now_ms)?;
+        // Others wait for the first permit as well.
+        let end_ms = end_ms.max(now_ms + MIN_LIMITED_RETRY_MS);
+        Some((RejectionReason::ServersLimited, end_ms))
+    })?;
     let after_ms = end_ms - now_ms + rand::random_range(0..RETRY_SPREAD_MS);
-    Some(Rejection::after(RejectionReason::ServersResting, after_ms))
+    Some(Rejection::after(reason, after_ms))
 }
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -24,7 +24,8 @@
 
 /// The version of the messages between routers in this release. Version 1 adds
 /// the priority of a reservation, version 2 the origins of streams, version 3 what
-/// routers hold of a budget, version 4 observations of crashed servers.
+/// routers hold of a budget, version 4 observations of crashed servers and
+/// limits of servers.
 pub(crate) const PROTOCOL: u32 = 4;
 /// How long an ended router is remembered, in milliseconds.
 const ENDED_RETENTION_MS: u64 = 60_000;
@@ -33,6 +34,18 @@
 /// Longest wait for the response to a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
 
+/// The first version of the messages between routers that has those about
+/// observations of servers.
+const OBSERVATIONS_PROTOCOL: u32 = 4;
+/// Shortest interval between two messages with observations to a peer, in
+/// milliseconds.
+const MIN_SHARE_INTERVAL_MS: u64 = 100;
+/// Interval between two such messages, for each router of the fleet, in
+/// milliseconds. Bounds how many messages a router gets.
+const SHARE_INTERVAL_PER_ROUTER_MS: u64 = 10;
+/// Longest interval between two such messages, in milliseconds.
+const MAX_SHARE_INTERVAL_MS: u64 = 1_000;
+
 /// A router's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RouterInstance {
@@ -48,6 +61,13 @@
     pub(crate) protocol: u32,
 }
 
+impl RouterInstance {
+    /// Returns whether the router knows the messages about observations of servers.
+    pub(crate) fn shares_observations(&self) -> bool {
+        self.protocol >= OBSERVATIONS_PROTOCOL
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     instance: RouterInstance,
@@ -246,6 +266,13 @@
         self.lock().len() + 1
     }
 
+    /// Returns the interval between two messages with observations to a peer.
+    pub(crate) fn share_interval(&self) -> Duration {
+        let fleet = u64::try_from(self.fleet_size()).unwrap_or(u64::MAX);
+        let interval_ms = fleet.saturating_mul(SHARE_INTERVAL_PER_ROUTER_MS);
+        Duration::from_millis(interval_ms.clamp(MIN_SHARE_INTERVAL_MS, MAX_SHARE_INTERVAL_MS))
+    }
+
     /// Marks the router with this incarnation as leaving: its process is about
     /// to end or has ended.
     pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -11,7 +11,7 @@
 
 use async_trait::async_trait;
 use http::{HeaderMap, StatusCode};
-use peridotslip::forwarding::{LoadReport, PromptProfile, RoutingTable, ServerEntry};
+use peridotslip::forwarding::{LimitNotice, LoadReport, PromptProfile, RoutingTable, ServerEntry};
 use quick_error::quick_error;
 use tokio::sync::watch;
 
@@ -230,6 +230,8 @@
     pub rest: Option<Duration>,
     /// Whether the server states that it is leaving.
     pub leaving: bool,
+    /// The requests that the server takes from all routers together.
+    pub limit: LimitNotice,
     /// The server's load.
     pub load: Option<LoadReport>,
     /// Whether the server closes the connection after the response.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -32,6 +32,9 @@
     /// All servers that could run the request have asked for no requests until a
     /// later time.
     ServersResting,
+    /// All servers that could run the request rest or have a limit that admits no
+    /// request now.
+    ServersLimited,
     /// Servers have crashed under a segment of the prompt, and the request was not
     /// sent.
     PromptBlocked,
@@ -65,6 +68,7 @@
             Self::VersionGone => "version-gone",
             Self::ServersFull => "servers-full",
             Self::ServersResting => "servers-resting",
+            Self::ServersLimited => "servers-limited",
             Self::PromptBlocked => "prompt-blocked",
             Self::PromptStopped => "prompt-stopped",
             Self::ServersUnreachable => "servers-unreachable",
@@ -90,6 +94,7 @@
             | Self::VersionGone
             | Self::ServersFull
             | Self::ServersResting
+            | Self::ServersLimited
             | Self::PromptBlocked
             | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use peridotslip::{
-    forwarding::{CrashObservation, OriginReply},
+    forwarding::{CrashObservation, LimitNews, OriginReply, PermitReply},
     ids::Incarnation,
     ledger::GrantTransfer,
 };
@@ -31,9 +31,10 @@
     filters::Chain,
     listeners, logging,
     metrics::Metrics,
+    peer_state,
     peers::{PROTOCOL, Peers, RouterInstance},
     ports::Platform,
-    rpc, server_versions,
+    rpc, server_limits, server_versions,
     settings::Settings,
     store_watch,
 };
@@ -131,6 +132,8 @@
         );
         store_watch::spawn(&shared);
         crash_watch::spawn(&shared);
+        tokio::spawn(peer_state::load(shared.clone()));
+        tokio::spawn(server_limits::publish(shared.clone()));
         tokio::spawn(server_versions::register_versions(shared.clone()));
         tokio::spawn(rpc::serve(peer_listener, {
             let shared = shared.clone();
@@ -184,6 +187,8 @@
     Origin(OriginReply),
     Holding(Box<HoldingReply>),
     Crashes(Vec<CrashObservation>),
+    Permit(PermitReply),
+    Limits(Vec<LimitNews>),
     Done(bool),
 }
 
@@ -269,6 +274,12 @@
             PeerResponse::Done(true)
         }
         PeerRequest::FetchCrashes => PeerResponse::Crashes(shared.crashes.snapshot()),
+        PeerRequest::TakePermit(news) => PeerResponse::Permit(server_limits::grant(&shared, &news)),
+        PeerRequest::ShareLimits(news) => {
+            server_limits::merge(&shared, &news);
+            PeerResponse::Done(true)
+        }
+        PeerRequest::FetchLimits => PeerResponse::Limits(server_limits::snapshot(&shared)),
         PeerRequest::Probe => PeerResponse::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -5,7 +5,8 @@
 //! The types in this module do no I/O: [`RoutingIndex`] matches a request to a
 //! route, [`Placement`] selects a backend server, [`RetryBudget`] bounds
 //! retries, [`StreamOrigins`] holds at which software versions streams began,
-//! [`CrashEvidence`] finds prompts that crash servers, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
+//! [`CrashEvidence`] finds prompts that crash servers, [`RateLimits`] holds how many
+//! requests servers take from all routers together, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
 //! orders waiting requests.
 
 mod crash_evidence;
@@ -13,6 +14,7 @@
 mod index;
 mod origin;
 mod placement;
+mod rate_limit;
 mod rest;
 mod retry_budget;
 mod server;
@@ -26,6 +28,7 @@
         StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
     },
     placement::{Placement, SelectedServer, Selection},
+    rate_limit::{LimitNews, LimitNotice, PermitReply, RateLimit, RateLimits},
     rest::{MAX_REST_MS, Rest},
     retry_budget::RetryBudget,
     server::{
--- a/crates/peridotslip/src/forwarding/placement.rs
+++ b/crates/peridotslip/src/forwarding/placement.rs
@@ -11,7 +11,7 @@
 
 use super::{
     AttemptOutcome, LoadReport, PromptProfile, ServerEntry, ServerId, ServerStart, ServerState,
-    ServerVersion, draining::DrainingStarts, rest::Rests,
+    ServerVersion, draining::DrainingStarts, rate_limit::RateLimits, rest::Rests,
 };
 use crate::members::rendezvous_weight;
 
@@ -263,6 +263,7 @@
     data_centre: String,
     servers: BTreeMap<ServerId, TrackedServer>,
     rests: Rests,
+    limits: RateLimits,
     /// The last removed servers, the latest last.
     removed: VecDeque<RemovedServer>,
     draining: DrainingStarts,
@@ -411,6 +412,30 @@
         ends?.into_iter().min()
     }
 
+    /// Returns the earliest time, in milliseconds, at which a server may get a
+    /// request again, if all servers that accept requests and may serve the request
+    /// rest or have a limit that admits none now.
+    #[must_use]
+    pub fn earliest_limited_ms(&self, selection: &Selection<'_>, now_ms: u64) -> Option<u64> {
+        let tracked = self.servers.values();
+        let accepting = tracked.filter(|tracked| {
+            selection.permits(&tracked.server) && tracked.accepts_requests(now_ms)
+        });
+        let ends: Option<Vec<u64>> = accepting
+            .map(|tracked| {
+                let limited_ms = self.limits.ask_at_ms(&tracked.server);
+                let limited_ms = limited_ms.filter(|ask_at_ms| now_ms < *ask_at_ms);
+                self.rests.end_ms(&tracked.server, now_ms).max(limited_ms)
+            })
+            .collect();
+        ends?.into_iter().min()
+    }
+
+    /// Returns the limits of servers.
+    pub fn limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.limits
+    }
+
     /// Returns whether the start of the server that `selected` describes is known
     /// at the same address and accepts new requests.
     #[must_use]
@@ -452,7 +477,8 @@
     /// Selects a server of `service` that is not in `attempted` and counts the
     /// request as in flight there. If all of these servers are unavailable
     /// because of failures or full capacity, one of them is selected
-    /// nevertheless. A resting server is never selected.
+    /// nevertheless. A resting server, or one whose limit admits no request now, is
+    /// never selected.
     pub fn choose(
         &mut self,
         service: &str,
@@ -576,7 +602,7 @@
     }
 
     /// Returns the eligible server with the lowest predicted cost, of those that
-    /// don't rest.
+    /// don't rest and whose limits admit a request.
     fn lowest_cost_server(
         &self,
         selection: &Selection<'_>,
@@ -589,6 +615,7 @@
             .values()
             .filter(|tracked| selection.permits(&tracked.server) && eligible(tracked, now_ms))
             .filter(|tracked| !self.rests.is_resting(&tracked.server, now_ms))
+            .filter(|tracked| self.limits.admits(&tracked.server, now_ms))
             .collect();
         let affinity_server = prompt
             .affinity_key()
