Give up a body without length at the deadline in the product's own interface

Cause: a whole response went on past the deadline as long as some data arrived within the limit on silence, so that a slow body without end held its caller for ever. Ruled out: a body with a length, which ends and may be late.

Change: a body without length is read until the deadline and then given up (backend-timeout, billed at its upper bound if it isn't idempotent); one with a length as before.

--- a/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use peridotslip::{balance::CallOutcome, memory::PooledBuffer, prelude::*};
+use quick_error::quick_error;
 use reqwest::Response;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,7 +14,7 @@
     backend::{forward, sse},
     context::{DeferredOutput, RequestContext, Usage},
     controllers::backends::InFlightGuard,
-    problem::Result,
+    problem::{Rejection, Result},
     response::ResponseHead,
 };
 
@@ -41,7 +42,13 @@
     };
     let body = match body {
         Ok(body) => body,
-        Err(reason) => {
+        Err(ReadError::Late) => {
+            log::info!(id = cx.id.as_str(), server = guard.server.as_str(); "a response had no end at the deadline; giving the request up");
+            guard.complete(CallOutcome::Failed);
+            bill_upper_bound(cx);
+            return Err(Rejection::unknown(Refusal::BackendTimeout));
+        }
+        Err(ReadError::Broken(reason)) => {
             log::info!(id = cx.id.as_str(), server = guard.server.as_str(), reason = reason.as_str(); "a response could not be read; the attempt fails");
             guard.complete(CallOutcome::Failed);
             return retry_if_idempotent(cx, Refusal::BackendFailed);
@@ -66,23 +73,50 @@
     Ok(AttemptResult::Answered)
 }
 
-/// Reads a whole body to `buf`. Returns the reason if the connection fails, the
-/// body exceeds a limit of the buffer, or no data arrives for `silence` and
-/// until the deadline.
+quick_error! {
+    /// Why a whole body could not be read.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    enum ReadError {
+        /// The connection failed, the body exceeds a limit of the buffer, or the
+        /// server was silent.
+        Broken(reason: String) {
+            display("{reason}")
+        }
+        /// The deadline passed, and nothing tells when the body ends.
+        Late {
+            display("the response had no end at the deadline")
+        }
+    }
+}
+
+/// Reads a whole body to `buf`. A body with a length may arrive after the deadline,
+/// as long as no more than `silence` passes without data.
 async fn read(
     response: Response,
     mut buf: PooledBuffer,
     silence: Duration,
     deadline: Instant,
-) -> std::result::Result<PooledBuffer, String> {
+) -> std::result::Result<PooledBuffer, ReadError> {
+    let has_length = response.content_length().is_some();
     let mut stream = response.bytes_stream();
     loop {
-        let until = deadline.max(Instant::now() + silence);
-        let next = timeout_at(until, stream.next()).await;
-        match next.map_err(|_| "the server is silent".to_owned())? {
-            None => return Ok(buf),
-            Some(Ok(chunk)) => buf.append(&chunk).map_err(|err| err.to_string())?,
-            Some(Err(err)) => return Err(err.without_url().to_string()),
+        let until = if has_length {
+            deadline.max(Instant::now() + silence)
+        } else {
+            deadline
+        };
+        match timeout_at(until, stream.next()).await {
+            Err(_) if has_length => {
+                return Err(ReadError::Broken("the server is silent".to_owned()));
+            }
+            Err(_) => return Err(ReadError::Late),
+            Ok(None) => return Ok(buf),
+            Ok(Some(Ok(chunk))) => buf
+                .append(&chunk)
+                .map_err(|err| ReadError::Broken(err.to_string()))?,
+            Ok(Some(Err(err))) => {
+                return Err(ReadError::Broken(err.without_url().to_string()));
+            }
         }
     }
 }
