Apply the current limit on heads to open connections

Cause: the HTTP library's limit on a head is its buffer's size, which is set when a connection is opened. After a table had raised max-header-bytes, callers with open connections still got 431. Ruled out: taking the connection apart and serving it again (a response that is not flushed could be lost).

Change: the buffer has at least 64 KiB, and the limit of the active table is applied by the connection's wrapper (a head in parts) and before the body is read (a head at once). A limit raised beyond 64 KiB still holds only for connections that are opened later.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -178,6 +178,10 @@
     fn head(&self) -> Duration {
         Duration::from_millis(self.index().table().limits.header_timeout_ms)
     }
+
+    fn head_bytes(&self) -> usize {
+        self.index().table().limits.max_header_bytes
+    }
 }
 
 /// Counts a request as open until it and all its clones are dropped.
--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -1,8 +1,8 @@
-//! Time limits for idle callers' connections and for the heads of requests.
+//! Limits for idle callers' connections and for the heads of requests.
 //!
-//! The HTTP library has a single limit for a request head and the idle time
-//! before it. A connection may stay idle for much longer than a head may take,
-//! so a wrapper around the connection applies both limits.
+//! The HTTP library has a single time limit for a request head and the idle time
+//! before it, and its limits are those that were in force when the connection was
+//! opened. A wrapper around the connection applies each limit as it is now.
 
 use std::{
     future::Future,
@@ -35,6 +35,10 @@
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// Response to a head that exceeds the size limit. The request has not run.
+const HEAD_TOO_LONG: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// The progress of the requests of a connection.
 #[derive(Clone, Default)]
 pub(crate) struct RequestSequence(Arc<RequestState>);
@@ -94,14 +98,16 @@
     }
 }
 
-/// The time limits of callers' connections. Both may change while a connection is
-/// open.
+/// The limits of callers' connections. All may change while a connection is open.
 pub(crate) trait ConnectionLimits: Send + Sync {
     /// Returns the longest time without a byte before a request.
     fn idle(&self) -> Duration;
 
     /// Returns the longest time from the first bytes of a head to its end.
     fn head(&self) -> Duration;
+
+    /// Returns the most bytes of a head.
+    fn head_bytes(&self) -> usize;
 }
 
 /// What a connection without an active request waits for.
@@ -125,6 +131,8 @@
     awaited: Awaited,
     /// The sequence at which the wait began. It changes at the end of the head.
     awaited_at: u64,
+    /// Bytes of the current head that have been read.
+    head_bytes: usize,
     since: Instant,
     /// Expires at the time limit of the wait.
     timer: Pin<Box<Sleep>>,
@@ -145,6 +153,7 @@
             awaited: Awaited::Request,
             awaited_at: sequence.get(),
             sequence,
+            head_bytes: 0,
             since: Instant::now(),
             timer,
             discard_until: None,
@@ -160,6 +169,7 @@
 
     fn begin_wait(&mut self, awaited: Awaited) {
         self.awaited = awaited;
+        self.head_bytes = 0;
         self.since = Instant::now();
         let until = self.since + self.limit();
         self.timer.as_mut().reset(until);
@@ -170,6 +180,13 @@
         self.sequence.get() == self.awaited_at
     }
 
+    /// Returns whether a head is incomplete and as long as the limit permits.
+    fn is_head_too_long(&self) -> bool {
+        self.awaited == Awaited::RestOfHead
+            && self.is_waiting()
+            && self.head_bytes >= self.limits.head_bytes()
+    }
+
     /// Waits until the time limit of the current wait has expired.
     fn poll_limit(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if !self.is_waiting() {
@@ -231,6 +248,12 @@
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
         let before = buf.filled().len();
+        if this.is_head_too_long() {
+            let written = this.stream.try_write(HEAD_TOO_LONG);
+            log::info!(answered = written.is_ok(); "request head is too long; closing the connection");
+            // The HTTP library treats an empty read as the end of the connection.
+            return Poll::Ready(Ok(()));
+        }
         // Bytes may be read later than they arrived, so the limit applies only when
         // none are left.
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
@@ -247,6 +270,9 @@
         if head_begins && this.is_waiting() && this.awaited == Awaited::Request {
             this.begin_wait(Awaited::RestOfHead);
         }
+        if this.awaited == Awaited::RestOfHead {
+            this.head_bytes += buf.filled().len() - before;
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -27,8 +27,9 @@
 
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
-/// Smallest connection buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Smallest buffer of a connection, in bytes. A table that becomes active later may
+/// allow heads up to this size.
+const MIN_BUFFER_BYTES: usize = 64 * 1024;
 /// Longest wait for the body of a request without a deadline, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 30_000;
 
@@ -89,7 +90,7 @@
         }
     });
     let connection = http1::Builder::new()
-        // `LimitedStream` has a limit for the head and one for the idle time.
+        // `LimitedStream` applies the limits of heads and of the idle time.
         .header_read_timeout(None)
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
@@ -138,7 +139,10 @@
     };
     let id = cx.id().to_owned();
     let version = cx.index.version();
-    let body_read = read_body(&mut cx, body).await;
+    let body_read = match check_head(&cx) {
+        Ok(()) => read_body(&mut cx, body).await,
+        Err(rejection) => Err(rejection),
+    };
     let must_close = body_read.is_err();
     let filtered = match body_read {
         Ok(()) => chain.apply(&mut cx).await,
@@ -183,6 +187,20 @@
     response
 }
 
+/// Rejects a request whose head is longer than the limit. Its end arrived with its
+/// beginning, before the connection could reject it.
+fn check_head(cx: &RequestContext) -> Result<(), Rejection> {
+    // Each header has a separator of two bytes and an end of two.
+    let headers = cx
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    if headers.sum::<usize>() > cx.index.table().limits.max_header_bytes {
+        return Err(Rejection::new(RejectionReason::HeadTooLong));
+    }
+    Ok(())
+}
+
 /// Reads the complete body into `cx`. Rejects a request without an attempt ID
 /// and one with several headers that frame the body, because a backend server
 /// might find another end of the body.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -13,6 +13,8 @@
     UnknownKey,
     /// The request is malformed.
     BadRequest,
+    /// The head is longer than the limit.
+    HeadTooLong,
     /// The body is longer than the limit.
     BodyTooLong,
     /// The rest of the organisation's prepaid tokens does not cover the
@@ -60,6 +62,7 @@
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
             Self::BadRequest => "bad-request",
+            Self::HeadTooLong => "head-too-long",
             Self::BodyTooLong => "body-too-long",
             Self::BudgetExhausted => "budget-exhausted",
             Self::TokensShort => "tokens-short",
@@ -85,6 +88,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
