--- a/crates/peridotslip/tests/crash_evidence.rs
+++ b/crates/peridotslip/tests/crash_evidence.rs
@@ -279,6 +279,25 @@
     );
 }
 
+/// Guards against a sound segment that is blocked because only another router had
+/// seen its answers before the crashes.
+#[test]
+fn an_answer_before_the_crashes_decides_between_segments_at_all_routers() {
+    let mut answering = CrashEvidence::default();
+    // The sound segment is the later one, which is blocked if nothing else decides.
+    answering.record_answer(&segments(&[0, FIRST])[1..], 500);
+    let mut evidence = crashed(&[BAD, FIRST], CRASHES_TO_BLOCK);
+    answering.merge(&evidence.own_since(0, 1_400).1, 1_400);
+    evidence.merge(&answering.own_since(0, 1_500).1, 1_500);
+    let mut late = CrashEvidence::default();
+    late.merge(&evidence.snapshot(1_600), 1_600);
+
+    for router in [&mut answering, &mut evidence, &mut late] {
+        assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
+        assert_eq!(verdict(router, &[FIRST], 2_000), PromptVerdict::Clear);
+    }
+}
+
 #[test]
 fn probes_are_few_and_a_block_ends_with_an_answer() {
     let mut evidence = crashed(&[BAD], CRASHES_TO_BLOCK);
