--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -35,7 +35,7 @@
 };
 
 /// The server's limit admits no request now.
-const SERVER_LIMITED: AttemptError = AttemptError::NotRun("server-limited");
+const NO_PERMIT: AttemptError = AttemptError::NotRun("no-permit");
 /// Connections to a server that a router may open even if its share of the
 /// limit is smaller.
 const MIN_CONNECTIONS: usize = 4;
@@ -255,7 +255,7 @@
         let mut permit = server_limits::obtain_permit(cx, server).await;
         if permit == Permit::Denied {
             in_flight.end(AttemptOutcome::Neutral);
-            return Err(SERVER_LIMITED);
+            return Err(NO_PERMIT);
         }
         let max_connections = connection_limit(cx);
         let mut connection = match cx.shared.upstream.acquire(server, max_connections).await {
@@ -286,7 +286,7 @@
         if permit == Permit::Denied {
             connection.release(None);
             in_flight.end(AttemptOutcome::Neutral);
-            return Err(SERVER_LIMITED);
+            return Err(NO_PERMIT);
         }
         if cx.is_prompt_blocked() {
             in_flight.end(AttemptOutcome::Neutral);
