Reserve a retry before its attempt begins

Cause (BUDGET of retries): since an attempt was counted only when it was written, so that requests that failed together all saw the same balance and were all tried again. Found when reading the diff. Ruled out: counting at selection without taking back, the fault that mends.

Change: a retry is taken from the budget when its attempt begins and given back if it is never written.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -24,7 +24,7 @@
 use super::{
     AttemptError, UNREACHABLE,
     rest::record_rest,
-    retry::{RetryState, SendCounter},
+    retry::{RetryState, SendReservation},
     update_usage,
 };
 use crate::{
@@ -150,7 +150,6 @@
     /// Address of an engine from which the KV cache of the prompt's prefix can
     /// be copied.
     kv_source: Option<&'a str>,
-    sends: &'a SendCounter,
 }
 
 /// A server that has been selected for an attempt. The request counts as in
@@ -201,7 +200,7 @@
         self,
         cx: &RequestContext,
         last_event_id: Option<u64>,
-        sends: &SendCounter,
+        mut reservation: SendReservation,
     ) -> Result<ServerResponse, AttemptError> {
         let Self {
             mut in_flight,
@@ -211,10 +210,10 @@
         let options = SendOptions {
             last_event_id,
             kv_source: selected.kv_source.as_deref(),
-            sends,
         };
         let (connection, response, metadata, sent_at) =
-            ServerResponse::exchange(cx, &server, &options, &mut in_flight).await?;
+            ServerResponse::exchange(cx, &server, &options, &mut reservation, &mut in_flight)
+                .await?;
         let (parts, body) = response.into_parts();
         let framed = body.size_hint().exact().is_some()
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
@@ -242,6 +241,7 @@
         cx: &RequestContext,
         server: &ServerEntry,
         options: &SendOptions<'_>,
+        reservation: &mut SendReservation,
         in_flight: &mut InFlightGuard,
     ) -> Result<
         (
@@ -305,14 +305,14 @@
         };
         let sent_at = Instant::now();
         let sent_ms = cx.shared.clock.now_ms();
-        let counted = options.sends.count(cx);
+        reservation.set_written();
         update_usage(cx, |usage| {
             usage.record_send(cx.metadata.prompt.prompt_tokens);
         });
         let response = match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(SendResult::Response(response)) => response,
             Ok(SendResult::Unwritten) => {
-                options.sends.undo(cx, counted);
+                reservation.set_unwritten();
                 update_usage(cx, RequestUsage::record_not_run);
                 in_flight.end(AttemptOutcome::Neutral);
                 return Err(AttemptError::NotRun("connection-closed"));
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -138,10 +138,12 @@
         if cx.time_remaining().is_zero()
             || !self.retry.permits_another(cx)
             || cx.is_prompt_blocked()
-            || !self.retry.may_send(cx)
         {
             return false;
         }
+        let Some(reservation) = self.retry.reserve_send(cx) else {
+            return false;
+        };
         let Some(attempt) = SelectedAttempt::select(cx, self.retry) else {
             return false;
         };
@@ -149,9 +151,8 @@
         let server = handle.server.clone();
         self.newest = Some(handle);
         let (reader, last_event_id) = (self.reader, self.last_event_id);
-        let sends = self.retry.sends();
         self.running.push(Box::pin(async move {
-            let outcome = match attempt.send(cx, last_event_id, &sends).await {
+            let outcome = match attempt.send(cx, last_event_id, reservation).await {
                 Ok(response) => reader.read(cx, response).await,
                 Err(error) => Err(error),
             };
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -9,7 +9,7 @@
 
 use super::{AttemptError, UNREACHABLE, attempt::AttemptHandle, rest};
 use crate::{
-    context::{Rejection, RequestContext},
+    context::{Rejection, RequestContext, SharedState},
     crash_watch::BLOCKED_RETRY_MS,
     reason::RejectionReason,
 };
@@ -29,53 +29,47 @@
     reached: bool,
     /// Number of attempts in which the server may have run the request.
     possible_executions: u32,
-    sends: SendCounter,
+    /// Whether a send counts as the first one, which needs no retry budget.
+    has_first: Arc<AtomicBool>,
 }
 
-/// Counts the sends of one request in the retry budget: those that are written to a
-/// server.
-#[derive(Clone, Debug, Default)]
-pub(super) struct SendCounter {
-    /// Whether the first send has been counted.
-    first: Arc<AtomicBool>,
-}
-
-/// A counted send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CountedSend {
-    First,
-    Retry,
+/// A send that is counted in the retry budget unless it turns out not to be written.
+pub(super) struct SendReservation {
+    shared: Arc<SharedState>,
+    service: String,
+    /// Whether the send is a request's first one, in which case the flag of the
+    /// request.
+    first: Option<Arc<AtomicBool>>,
+    written: bool,
 }
 
-impl SendCounter {
-    fn has_sent(&self) -> bool {
-        self.first.load(Ordering::Relaxed)
+impl SendReservation {
+    /// Records that the request is about to be written.
+    pub(super) fn set_written(&mut self) {
+        self.written = true;
+        if self.first.is_some() {
+            self.shared
+                .with_retry_budget(&self.service, RetryBudget::deposit);
+        }
     }
 
-    /// Counts a send that is about to be written.
-    pub(super) fn count(&self, cx: &RequestContext) -> CountedSend {
-        let now_ms = cx.shared.clock.now_ms();
-        let retry = self.first.swap(true, Ordering::Relaxed);
-        cx.shared.with_retry_budget(&cx.service, |budget| {
-            if retry {
-                budget.withdraw(now_ms);
-                CountedSend::Retry
-            } else {
-                budget.deposit();
-                CountedSend::First
-            }
-        })
+    /// Records that the request was not written after all. The deposit of a first
+    /// send stays, which overstates the budget by the ratio of one request.
+    pub(super) fn set_unwritten(&mut self) {
+        self.written = false;
     }
+}
 
-    /// Takes back a send that has turned out not to be written.
-    pub(super) fn undo(&self, cx: &RequestContext, send: CountedSend) {
-        match send {
-            // The next send deposits again, which overstates the budget by the
-            // ratio of one request.
-            CountedSend::First => self.first.store(false, Ordering::Relaxed),
-            CountedSend::Retry => cx
+impl Drop for SendReservation {
+    fn drop(&mut self) {
+        if self.written {
+            return;
+        }
+        match &self.first {
+            Some(has_first) => has_first.store(false, Ordering::Relaxed),
+            None => self
                 .shared
-                .with_retry_budget(&cx.service, RetryBudget::refund),
+                .with_retry_budget(&self.service, RetryBudget::refund),
         }
     }
 }
@@ -139,24 +133,25 @@
         })
     }
 
-    /// Returns whether the request may be sent now. The first send is always
-    /// allowed; each further one needs the retry budget.
-    pub(super) fn may_send(&self, cx: &RequestContext) -> bool {
+    /// Reserves a send of the request. The first one is always allowed; each further
+    /// one needs the retry budget. Returns `None` if the budget is spent.
+    pub(super) fn reserve_send(&self, cx: &RequestContext) -> Option<SendReservation> {
         let now_ms = cx.shared.clock.now_ms();
-        let allowed = !self.sends.has_sent()
+        let first = !self.has_first.swap(true, Ordering::Relaxed);
+        let allowed = first
             || cx
                 .shared
-                .with_retry_budget(&cx.service, |budget| budget.permits_retry(now_ms));
+                .with_retry_budget(&cx.service, |budget| budget.withdraw(now_ms));
         if !allowed {
             log::info!(id = cx.id(), service = cx.service.as_str(); "retry budget exhausted; not retrying the request");
+            return None;
         }
-        allowed
-    }
-
-    /// Returns the counter for the sends that [`may_send`](Self::may_send) has
-    /// allowed.
-    pub(super) fn sends(&self) -> SendCounter {
-        self.sends.clone()
+        Some(SendReservation {
+            shared: cx.shared.clone(),
+            service: cx.service.clone(),
+            first: first.then(|| self.has_first.clone()),
+            written: false,
+        })
     }
 
     /// Returns the rejection that the caller gets after the last attempt.
