Count the events that acquit a prompt at each server by itself

Ruled out: the end of a stream, which such a prompt never reaches.

Change: each server's stream counts its own events. The test engines resume streams after Last-Event-Id and send 20 events.

--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -39,8 +39,8 @@
 /// Bytes that a stream may buffer beside the memory that all responses share:
 /// enough for usual events.
 const PRIVATE_BYTES: usize = 8 * 1024;
-/// Events after which a prompt counts as answered by a server that it does not
-/// crash, if [`ACQUIT_AFTER`] has passed as well.
+/// Events of one server after which a prompt counts as answered by a server that it
+/// does not crash, if [`ACQUIT_AFTER`] has passed as well.
 const EVENTS_TO_ACQUIT: u64 = 4;
 /// Time from the first event after which a prompt counts as answered. A server that
 /// crashes at the beginning of an answer may have sent some events.
@@ -62,8 +62,11 @@
     framer: EventFramer,
     /// Shared memory of the framer's bytes beyond [`PRIVATE_BYTES`].
     share: MemoryShare,
-    /// Whether an event has been read.
-    any_event: bool,
+    /// Number of events that have been read.
+    events: u64,
+    first_event_at: Option<Instant>,
+    /// Whether the server counts as having answered the prompt.
+    answered: bool,
 }
 
 /// An event and the shared memory that it holds until it has been sent.
@@ -84,7 +87,9 @@
             response,
             framer: EventFramer::default(),
             share: cx.shared.response_memory.share(),
-            any_event: false,
+            events: 0,
+            first_event_at: None,
+            answered: false,
         }
     }
 
@@ -116,6 +121,18 @@
         Some(Bytes::from_owner(held))
     }
 
+    /// Counts an event. Once the server has gone on for a while, its answer acquits
+    /// the prompt.
+    fn record_event(&mut self) {
+        self.events += 1;
+        let first_at = *self.first_event_at.get_or_insert_with(Instant::now);
+        let goes_on = self.events >= EVENTS_TO_ACQUIT && first_at.elapsed() >= ACQUIT_AFTER;
+        if goes_on && !self.answered {
+            self.answered = true;
+            self.response.record_answer();
+        }
+    }
+
     /// Returns the item for a stream that the server has broken off.
     fn broken_off(&self, reason: &str) -> StreamItem {
         self.response.record_unframed_end(reason);
@@ -127,7 +144,7 @@
         let until = tokio::time::Instant::now() + limit;
         loop {
             if let Some(event) = self.next_buffered() {
-                self.any_event = true;
+                self.record_event();
                 return StreamItem::Event(event);
             }
             let chunk = tokio::time::timeout_at(until, self.response.chunk()).await;
@@ -136,7 +153,7 @@
                 Ok(None) if self.framer.is_partial() => {
                     return self.broken_off("ended within an event");
                 }
-                Ok(None) if !self.any_event && !self.response.framed => {
+                Ok(None) if self.events == 0 && !self.response.framed => {
                     return self.broken_off("ended before the first event");
                 }
                 Ok(None) => return StreamItem::End,
@@ -327,8 +344,6 @@
     let mut next = StreamItem::Event(event);
     let mut longest_gap = Duration::ZERO;
     let mut last_event_at = Instant::now();
-    let began = Instant::now();
-    let mut acquitted = false;
     let outcome = loop {
         match next {
             StreamItem::Event(event) => {
@@ -337,11 +352,6 @@
                 let repeated = id.is_some() && id <= progress.last_event_id;
                 if !repeated {
                     progress.events += 1;
-                    let answered =
-                        progress.events >= EVENTS_TO_ACQUIT && began.elapsed() >= ACQUIT_AFTER;
-                    if answered && !std::mem::replace(&mut acquitted, true) {
-                        stream.response.record_answer();
-                    }
                     progress.last_event_id = id.or(progress.last_event_id);
                     record_output(&cx, progress.events);
                     longest_gap = longest_gap.max(last_event_at.elapsed());
