Have three routers of each data centre watch the store for the others

Cause: each router watched the store's entries of servers, the table and the routers itself.

Change: core module `relay` (change log, ranking of relays, choice of a source) and edge module `feeds`. The three largest VMs of a data centre read the store; the others call them with their position and get the last change of each key. Any router that reads the store serves any other, positions never go back, and a relay that is behind, stale, stopping or of another epoch refuses. Setting `vm_size`; registry entries name the VM's data centre and size; messages between routers are at protocol 5. Up to three routers of a data centre work as before.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::rpc::RpcRequest;
+use crate::{feeds::FollowRequest, rpc::RpcRequest};
 
 /// Identifies a reservation that one router has made at another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -84,6 +84,8 @@
     ShareLimits(Vec<LimitNews>),
     /// Asks for all limits of servers that the router knows.
     FetchLimits,
+    /// Asks a relay for the store's changes. Sent to routers that know protocol 5.
+    Follow(FollowRequest),
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -120,6 +122,7 @@
             | Self::FetchCrashes
             | Self::ShareLimits(_)
             | Self::FetchLimits
+            | Self::Follow(_)
             | Self::Probe => true,
             // Each reply issues a transfer or a permit of its own.
             Self::RequestTransfer { .. } | Self::TakePermit(_) => false,
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -20,6 +20,7 @@
     budgets::{BudgetManager, ReservationGuard},
     clock::Clock,
     crash_watch::CrashWatch,
+    feeds::Feeds,
     limited_stream::ConnectionLimits,
     metrics::Metrics,
     peers::Peers,
@@ -58,6 +59,7 @@
     index: Mutex<Arc<RoutingIndex>>,
     retry_budgets: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) store_availability: StoreAvailability,
+    pub(crate) feeds: Feeds,
     pub(crate) stopping: AtomicBool,
     /// Whether the peers' observations have been read since the start.
     pub(crate) peer_state_loaded: AtomicBool,
@@ -74,6 +76,7 @@
         budgets: Arc<BudgetManager>,
     ) -> Self {
         let placement = Mutex::new(Placement::new(&settings.data_centre));
+        let feeds = Feeds::new(&settings.vm, clock);
         Self {
             upstream: ConnectionPools::new(metrics.clone()),
             response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
@@ -89,6 +92,7 @@
             index: Mutex::default(),
             retry_budgets: Mutex::default(),
             store_availability: StoreAvailability::new(),
+            feeds,
             stopping: AtomicBool::new(false),
             peer_state_loaded: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod context;
 mod crash_watch;
 mod dispatch;
+mod feeds;
 mod filters;
 mod latch;
 mod limited_stream;
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -14,19 +14,24 @@
     time::{Duration, Instant},
 };
 
-use peridotslip::{ids::Incarnation, members::rendezvous_weight};
+use peridotslip::{
+    ids::Incarnation,
+    members::rendezvous_weight,
+    relay::{RelayCandidate, VmSize, rank},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     ports::StoreEpoch,
+    registry::Entry,
     rpc::{self, Client, RpcRequest},
 };
 
 /// The version of the messages between routers in this release. Version 1 adds
 /// the priority of a reservation, version 2 the origins of streams, version 3 what
 /// routers hold of a budget, version 4 observations of crashed servers and
-/// limits of servers.
-pub(crate) const PROTOCOL: u32 = 4;
+/// limits of servers, version 5 the store's changes.
+pub(crate) const PROTOCOL: u32 = 5;
 /// How long an ended router is remembered, in milliseconds.
 const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
@@ -37,6 +42,9 @@
 /// The first version of the messages between routers that has those about
 /// observations of servers.
 const OBSERVATIONS_PROTOCOL: u32 = 4;
+/// The first version of the messages between routers that has those about the
+/// store's changes.
+const RELAY_PROTOCOL: u32 = 5;
 /// Shortest interval between two messages with observations to a peer, in
 /// milliseconds.
 const MIN_SHARE_INTERVAL_MS: u64 = 100;
@@ -66,11 +74,25 @@
     pub(crate) fn shares_observations(&self) -> bool {
         self.protocol >= OBSERVATIONS_PROTOCOL
     }
+
+    /// Returns whether the router knows the messages about the store's changes.
+    fn relays(&self) -> bool {
+        self.protocol >= RELAY_PROTOCOL
+    }
+}
+
+/// Where a router's VM is and what it has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct VmProfile {
+    pub(crate) data_centre: String,
+    pub(crate) size: VmSize,
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
     instance: RouterInstance,
+    vm: VmProfile,
     /// The store's epoch when the router started.
     started_epoch: u64,
     reachable: bool,
@@ -80,6 +102,7 @@
 /// The other routers of the fleet.
 pub(crate) struct Peers {
     local: RouterInstance,
+    local_vm: VmProfile,
     others: Mutex<BTreeMap<String, Peer>>,
     /// Whether all entries in the store have been read once.
     synced: AtomicBool,
@@ -99,9 +122,10 @@
 }
 
 impl Peers {
-    pub(crate) fn new(local: RouterInstance) -> Arc<Self> {
+    pub(crate) fn new(local: RouterInstance, local_vm: VmProfile) -> Arc<Self> {
         Arc::new(Self {
             local,
+            local_vm,
             others: Mutex::default(),
             synced: AtomicBool::new(false),
             client: Client::default(),
@@ -176,6 +200,32 @@
         &self.local
     }
 
+    /// Returns where this router's VM is and what it has.
+    pub(crate) fn local_vm(&self) -> &VmProfile {
+        &self.local_vm
+    }
+
+    /// Returns the routers of this data centre that may be relays, this one
+    /// included, in the order in which they become relays.
+    pub(crate) fn relay_candidates(&self) -> Vec<RelayCandidate> {
+        let data_centre = self.local_vm.data_centre.as_str();
+        let candidate = |instance: &RouterInstance, vm: &VmProfile| RelayCandidate {
+            vm: instance.vm.clone(),
+            incarnation: instance.incarnation,
+            size: vm.size,
+        };
+        let mut candidates: Vec<RelayCandidate> = self
+            .lock()
+            .values()
+            .filter(|peer| peer.reachable && !peer.leaving && peer.instance.relays())
+            .filter(|peer| peer.vm.data_centre == data_centre)
+            .map(|peer| candidate(&peer.instance, &peer.vm))
+            .collect();
+        candidates.push(candidate(&self.local, &self.local_vm));
+        rank(data_centre, &mut candidates);
+        candidates
+    }
+
     /// Records that all entries in the store have been read.
     pub(crate) fn set_synced(&self) {
         self.synced.store(true, Ordering::Relaxed);
@@ -188,7 +238,8 @@
 
     /// Adds or replaces the entry of another router. Ignores this router's own
     /// entry.
-    pub(crate) fn insert(&self, instance: RouterInstance, started_epoch: u64) {
+    pub(crate) fn insert(&self, entry: Entry) {
+        let instance = entry.member;
         if instance.vm == self.local.vm {
             return;
         }
@@ -204,7 +255,8 @@
         log::info!(peer = instance.vm.as_str(), address = instance.address.as_str(); "peer added");
         let peer = Peer {
             instance: instance.clone(),
-            started_epoch,
+            vm: entry.vm,
+            started_epoch: entry.started_epoch,
             reachable: true,
             leaving: false,
         };
--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     metrics::Metrics,
-    peers::{Peers, RouterInstance},
+    peers::{Peers, RouterInstance, VmProfile},
     ports::{CasOutcome, Item, MetadataStore, StoreEpoch, StoreResult},
 };
 
@@ -29,6 +29,10 @@
     /// The store's epoch when the router started.
     #[serde(default)]
     pub(crate) started_epoch: u64,
+    /// Where the VM is and what it has; empty in the entries of releases without
+    /// relays.
+    #[serde(default)]
+    pub(crate) vm: VmProfile,
 }
 
 fn key(vm: &str) -> String {
@@ -92,6 +96,7 @@
     let entry = Entry {
         member: local.clone(),
         started_epoch: peers.record_start(revision.epoch.0, found.is_none()),
+        vm: peers.local_vm().clone(),
     };
     if found_entry.as_ref() == Some(&entry) {
         return Ok(Some(revision.epoch));
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -28,11 +28,12 @@
     clock::Clock,
     context::SharedState,
     crash_watch,
+    feeds::{self, FollowReply},
     filters::Chain,
     listeners, logging,
     metrics::Metrics,
     peer_state,
-    peers::{PROTOCOL, Peers, RouterInstance},
+    peers::{PROTOCOL, Peers, RouterInstance, VmProfile},
     ports::Platform,
     rpc, server_limits, server_versions,
     settings::Settings,
@@ -97,12 +98,17 @@
     pub async fn bind(settings: Settings, platform: Platform) -> Result<Self, Error> {
         let metrics = Metrics::open()?;
         let clock = Clock::start();
-        let peers = Peers::new(RouterInstance {
+        let instance = RouterInstance {
             vm: settings.vm.clone(),
             address: settings.listen.peers.clone(),
             incarnation: Incarnation::from(Uuid::now_v7().as_u128()),
             protocol: PROTOCOL,
-        });
+        };
+        let vm = VmProfile {
+            data_centre: settings.data_centre.clone(),
+            size: settings.vm_size.size(),
+        };
+        let peers = Peers::new(instance, vm);
         let budgets = BudgetManager::spawn(
             platform.store.clone(),
             peers.clone(),
@@ -189,6 +195,7 @@
     Crashes(Vec<CrashObservation>),
     Permit(PermitReply),
     Limits(Vec<LimitNews>),
+    Changes(FollowReply),
     Done(bool),
 }
 
@@ -280,6 +287,9 @@
             PeerResponse::Done(true)
         }
         PeerRequest::FetchLimits => PeerResponse::Limits(server_limits::snapshot(&shared)),
+        PeerRequest::Follow(request) => {
+            PeerResponse::Changes(feeds::serve(&shared, &request).await)
+        }
         PeerRequest::Probe => PeerResponse::Done(!shared.is_stopping()),
     }
 }
--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use peridotslip::relay::VmSize;
 use quick_error::quick_error;
 use serde::Deserialize;
 
@@ -37,6 +38,10 @@
     pub data_centre: String,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// What this VM has. The routers with most of it read the store for the
+    /// others.
+    #[serde(default)]
+    pub vm_size: VmCapacity,
     /// Address of the platform's store, `IP:port`.
     pub store: String,
     /// Time limits.
@@ -68,6 +73,26 @@
     pub metrics: Option<String>,
 }
 
+/// The capacity of a VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct VmCapacity {
+    /// Processor cores that the router may use.
+    pub cores: f64,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl VmCapacity {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
+    pub(crate) fn size(&self) -> VmSize {
+        VmSize {
+            millicores: (self.cores * 1_000.0) as u32,
+            link_mbps: self.link_mbps as u32,
+        }
+    }
+}
+
 /// Time limits, in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -188,6 +213,13 @@
         {
             return field("listen", "give each address as IP:port");
         }
+        let capacity = [self.vm_size.cores, self.vm_size.link_mbps];
+        if !capacity
+            .iter()
+            .all(|value| value.is_finite() && *value >= 0.0)
+        {
+            return field("vm_size", "cores and link_mbps must not be negative");
+        }
         if !(0.0..=1.0).contains(&self.retries.ratio) || self.retries.allowance < 0.0 {
             return field(
                 "retries",
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -13,6 +13,7 @@
 use self::servers::ServersWatcher;
 use crate::{
     context::SharedState,
+    feeds::{self, Feed},
     ports::{
         Item, Listing, Revision, StoreEpoch, StoreError, StoreResult, WatchEvent, WatchResponse,
     },
@@ -44,10 +45,19 @@
 /// reply to any watch ends the pauses of all.
 const PROBE_INTERVAL_MS: u64 = 3_200;
 
+/// How long after a restore of the store all routers read it directly, in
+/// milliseconds. Until servers have written their entries again, it matters also
+/// which entries they rewrite unchanged.
+const DIRECT_AFTER_RESTORE_MS: u64 = 30_000;
+
 /// Applies the changes of the keys under one prefix of the store.
 trait PrefixWatcher: Send {
-    /// Returns the label in logs.
-    fn name(&self) -> &'static str;
+    /// Returns the prefix's feed.
+    fn feed(&self) -> Feed;
+    /// Returns whether two values of a key mean the same to all routers.
+    fn is_same(&self, _key: &str, old: &[u8], new: &[u8]) -> bool {
+        old == new
+    }
     /// Returns the prefix.
     fn prefix(&self) -> &str;
     /// Returns how long a watch waits for changes.
@@ -120,8 +130,20 @@
     let mut epoch = shared.platform.store.epoch();
     // The epoch and the time of the last reply.
     let mut last_reply: Option<(StoreEpoch, Instant)> = None;
+    let feed = watcher.feed();
     loop {
         let probing = lost_at.is_some() || !availability.is_available();
+        if !probing
+            && let Some(after) = revision
+            && let Some(relay) = shared.feeds.relay(&shared)
+        {
+            if let Some(response) = feeds::follow(&shared, &relay, feed, after).await {
+                revision = Some(apply_changes(&mut watcher, response));
+                last_reply = revision.map(|revision| (revision.epoch, Instant::now()));
+                watcher.on_batch_end();
+            }
+            continue;
+        }
         let started = Instant::now();
         let outcome = tokio::select! {
             outcome = read_store(&shared, &watcher, revision, probing) => outcome,
@@ -130,7 +152,7 @@
             () = availability.changed_to(false), if !probing => continue,
             // A watch from a revision of an earlier epoch misses changes.
             () = epoch_changed(&mut epoch, revision) => {
-                log::warn!(feed = watcher.name(), epoch = epoch.borrow().0; "store was restored from an older copy; listing all keys");
+                log::warn!(feed = feed.name(), epoch = epoch.borrow().0; "store was restored from an older copy; listing all keys");
                 revision = None;
                 continue;
             }
@@ -151,21 +173,20 @@
                             outage,
                             restored_after,
                         };
-                        let revision = listing.revision;
-                        watcher.on_list(listing, cause);
-                        revision
+                        apply_listing(&shared, &mut watcher, listing, cause)
                     }
                     StoreReply::Changes(response) => {
-                        for event in response.events {
-                            watcher.on_event(event);
-                        }
-                        response.revision
+                        let from = revision.unwrap_or_default();
+                        let is_same =
+                            |key: &str, old: &[u8], new: &[u8]| watcher.is_same(key, old, new);
+                        shared.feeds.record_changes(feed, from, &response, is_same);
+                        apply_changes(&mut watcher, response)
                     }
                 });
                 last_reply = revision.map(|revision| (revision.epoch, Instant::now()));
                 if let Some(outage) = outage {
                     let after_ms = as_ms(outage.began.elapsed());
-                    log::info!(feed = watcher.name(), after_ms, revision = revision.map(|revision| revision.number); "store is available again");
+                    log::info!(feed = feed.name(), after_ms, revision = revision.map(|revision| revision.number); "store is available again");
                 }
                 backoff_ms = FIRST_BACKOFF_MS;
                 watcher.on_batch_end();
@@ -174,7 +195,7 @@
             Err(StoreError::Compacted) => {
                 shared.metrics.store_failed();
                 shared.store_availability.record_success();
-                log::warn!(feed = watcher.name(); "store has compacted its history; listing all keys");
+                log::warn!(feed = feed.name(); "store has compacted its history; listing all keys");
                 revision = None;
             }
             Err(StoreError::Restored) => {
@@ -186,7 +207,7 @@
                 let replied_since = shared.store_availability.record_failure(started);
                 if lost_at.is_none() {
                     lost_at = Some(Instant::now());
-                    log::warn!(feed = watcher.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
+                    log::warn!(feed = feed.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
                 }
                 let interval_rest = watcher.probe_interval().saturating_sub(started.elapsed());
                 let pause = Duration::from_millis(backoff_ms).min(interval_rest);
@@ -202,6 +223,31 @@
     }
 }
 
+/// Applies all items under the prefix. Returns the revision from which to go on.
+fn apply_listing(
+    shared: &SharedState,
+    watcher: &mut impl PrefixWatcher,
+    listing: Listing,
+    cause: ListCause,
+) -> Revision {
+    let revision = listing.revision;
+    if cause.restored_after.is_some() {
+        let duration = Duration::from_millis(DIRECT_AFTER_RESTORE_MS);
+        shared.feeds.read_directly(duration);
+    }
+    shared.feeds.record_listing(watcher.feed(), revision);
+    watcher.on_list(listing, cause);
+    revision
+}
+
+/// Applies changes. Returns the revision from which to go on.
+fn apply_changes(watcher: &mut impl PrefixWatcher, response: WatchResponse) -> Revision {
+    for event in response.events {
+        watcher.on_event(event);
+    }
+    response.revision
+}
+
 /// Waits until the store's epoch is later than that of `revision`.
 async fn epoch_changed(epoch: &mut watch::Receiver<StoreEpoch>, revision: Option<Revision>) {
     let newer = |epoch: &StoreEpoch| revision.is_some_and(|revision| *epoch > revision.epoch);
@@ -267,8 +313,8 @@
 }
 
 impl PrefixWatcher for TableWatcher {
-    fn name(&self) -> &'static str {
-        "table"
+    fn feed(&self) -> Feed {
+        Feed::Table
     }
 
     fn prefix(&self) -> &str {
@@ -314,8 +360,8 @@
 struct RoutersWatcher(Arc<SharedState>);
 
 impl PrefixWatcher for RoutersWatcher {
-    fn name(&self) -> &'static str {
-        "routers"
+    fn feed(&self) -> Feed {
+        Feed::Routers
     }
 
     fn prefix(&self) -> &str {
@@ -333,7 +379,7 @@
     fn on_event(&mut self, event: WatchEvent) {
         match event {
             WatchEvent::Put(item) => match registry::decode(&item) {
-                Some(entry) => self.0.peers.insert(entry.member, entry.started_epoch),
+                Some(entry) => self.0.peers.insert(entry),
                 None => {
                     log::warn!(key = item.key.as_str(); "invalid entry of a router; ignoring it");
                 }
--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -11,6 +11,7 @@
 use super::{ListCause, PrefixWatcher, as_ms};
 use crate::{
     context::SharedState,
+    feeds::Feed,
     ports::{Item, Listing, Revision, WatchEvent},
     store_availability::Outage,
 };
@@ -100,8 +101,16 @@
 }
 
 impl PrefixWatcher for ServersWatcher {
-    fn name(&self) -> &'static str {
-        "servers"
+    fn feed(&self) -> Feed {
+        Feed::Servers
+    }
+
+    /// Servers rewrite their entries all the time with a new number. An entry that
+    /// can't be decoded changes nothing either.
+    fn is_same(&self, key: &str, old: &[u8], new: &[u8]) -> bool {
+        let dialect = &self.shared.platform.dialect;
+        let new = dialect.decode_server(key, new);
+        new.is_none() || dialect.decode_server(key, old) == new
     }
 
     fn prefix(&self) -> &str {
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -61,6 +61,7 @@
 - [`events`]: framing of server-sent events.
 - [`memory`]: a bound on the memory of buffers that requests share.
 - [`refusal`]: the reasons for which a request is refused or retried.
+- [`relay`]: passing the store's changes on from few routers to all others.
 */
 
 pub mod admission;
@@ -76,6 +77,7 @@
 pub mod prelude;
 pub mod reclaim;
 pub mod refusal;
+pub mod relay;
 pub mod replication;
 pub mod scarcity;
 pub mod tables;
--- /dev/null
+++ b/crates/peridotslip/src/relay/selector.rs
@@ -0,0 +1,110 @@
+//! The choice of whom a router follows.
+
+use std::{cmp::Reverse, collections::HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::Incarnation, members::rendezvous_weight};
+
+/// Number of routers of a data centre that read the store for the others.
+pub const RELAYS_PER_DATA_CENTRE: usize = 3;
+/// How long a relay is passed over that has not replied or has refused, in
+/// milliseconds.
+const REJECTION_MS: u64 = 2_000;
+
+/// What a VM has to serve other routers with.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(default)]
+pub struct VmSize {
+    /// Thousandths of a processor core.
+    pub millicores: u32,
+    /// Bandwidth of the VM's link, in Mbit/s.
+    pub link_mbps: u32,
+}
+
+/// A router that may be a relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayCandidate {
+    /// The VM's name.
+    pub vm: String,
+    /// The router's process.
+    pub incarnation: Incarnation,
+    /// The VM's size.
+    pub size: VmSize,
+}
+
+/// Orders the routers of a data centre: larger VMs first, then by rendezvous
+/// weight, so that no order of names decides.
+pub fn rank(data_centre: &str, candidates: &mut [RelayCandidate]) {
+    candidates.sort_by_key(|candidate| {
+        let weight = rendezvous_weight(data_centre, &candidate.vm);
+        Reverse((candidate.size, weight))
+    });
+}
+
+/// Where a router reads the store's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From the store.
+    Store,
+    /// From the relay with this incarnation.
+    Relay(Incarnation),
+}
+
+/// Chooses between the relays of the data centre and the store.
+#[derive(Clone, Debug)]
+pub struct SourceSelector {
+    vm: String,
+    /// Until when a relay is passed over, in milliseconds.
+    rejected_until: HashMap<Incarnation, u64>,
+    /// Until when the store is read directly, in milliseconds.
+    direct_until: u64,
+}
+
+impl SourceSelector {
+    /// Returns a selector of the router on `vm`.
+    #[must_use]
+    pub fn new(vm: &str) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            rejected_until: HashMap::new(),
+            direct_until: 0,
+        }
+    }
+
+    /// Returns the source for this router. `ranked` are the reachable routers of
+    /// its data centre, this one included, by [`rank`].
+    #[must_use]
+    pub fn select(&self, ranked: &[RelayCandidate], now_ms: u64) -> Source {
+        let relays = &ranked[..ranked.len().min(RELAYS_PER_DATA_CENTRE)];
+        if now_ms < self.direct_until || relays.iter().any(|relay| relay.vm == self.vm) {
+            return Source::Store;
+        }
+        // Each router prefers another relay, so that they share the followers.
+        let usable = relays
+            .iter()
+            .filter(|relay| !self.is_rejected(relay.incarnation, now_ms));
+        let chosen = usable.max_by_key(|relay| rendezvous_weight(&self.vm, &relay.vm));
+        chosen.map_or(Source::Store, |relay| Source::Relay(relay.incarnation))
+    }
+
+    /// Returns whether a relay is passed over now.
+    #[must_use]
+    pub fn is_rejected(&self, relay: Incarnation, now_ms: u64) -> bool {
+        let until = self.rejected_until.get(&relay);
+        until.is_some_and(|until| now_ms < *until)
+    }
+
+    /// Passes a relay over for some time.
+    pub fn reject(&mut self, relay: Incarnation, now_ms: u64) {
+        self.rejected_until.retain(|_, until| now_ms < *until);
+        self.rejected_until.insert(relay, now_ms + REJECTION_MS);
+    }
+
+    /// Has the store read directly for `duration_ms` milliseconds.
+    pub fn read_directly(&mut self, duration_ms: u64, now_ms: u64) {
+        self.direct_until = self.direct_until.max(now_ms + duration_ms);
+    }
+}
