Grow response buffers by parts

Cause: `bodies_without_end_take_bounded_memory` is in KNOWN-RED.txt: 50 bodies took 51,952 to 65,956 kB of a bound of 49,152. A buffer grew by doubling, and the allocator retained the freed halves, which the pool does not count.

Change: `PooledBuffer` grows by parts of at most 32 KiB and joins them once the content is complete. Small bodies still take one allocation and no copy.

What is left was not traced; the read buffers of the HTTP client's 50 connections are the next suspect. tests/memory.rs checks the joined content in place of the growing one, with the same bounds.

--- a/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
+++ b/crates/peridotslip-daemon/src/filters/dispatch/buffered.rs
@@ -41,7 +41,7 @@
         }
     };
     let body = match body {
-        Ok(body) => body,
+        Ok(body) => body.finish(),
         Err(ReadError::Late) => {
             log::info!(id = cx.id.as_str(), server = guard.server.as_str(); "a response had no end at the deadline; giving the request up");
             guard.complete(CallOutcome::Failed);
--- a/crates/peridotslip-edge/src/dispatch/collect.rs
+++ b/crates/peridotslip-edge/src/dispatch/collect.rs
@@ -54,7 +54,7 @@
     while let Some(chunk) = from_server.chunk().await {
         buf.append(&chunk.map_err(Error::Broken)?)?;
     }
-    Ok(Bytes::from_owner(buf))
+    Ok(Bytes::from_owner(buf.finish()))
 }
 
 /// Ends the attempt after its body could not be read. A body that has an end is
--- a/crates/peridotslip/src/memory.rs
+++ b/crates/peridotslip/src/memory.rs
@@ -11,6 +11,9 @@
 
 use quick_error::quick_error;
 
+/// Largest part by which a buffer grows ahead of need, in bytes.
+const MAX_PART_BYTES: usize = 32 * 1024;
+
 /// A bounded amount of memory, in bytes.
 #[derive(Clone, Debug)]
 pub struct MemoryPool {
@@ -43,15 +46,25 @@
     }
 }
 
-/// A buffer of limited length whose memory belongs to a pool.
+/// A buffer of limited length whose memory belongs to a pool. It grows by parts,
+/// so that growing frees no memory which the allocator would retain uncounted.
 #[derive(Debug)]
 pub struct PooledBuffer {
-    content: Vec<u8>,
+    parts: Vec<Vec<u8>>,
+    len: usize,
     share: MemoryShare,
     /// Most bytes of the content.
     limit: usize,
 }
 
+/// The complete content of a [`PooledBuffer`]. Its memory belongs to the pool
+/// until it is dropped.
+#[derive(Debug)]
+pub struct PooledContent {
+    content: Vec<u8>,
+    _share: MemoryShare,
+}
+
 impl MemoryPool {
     /// Returns a pool of `capacity` bytes.
     #[must_use]
@@ -122,7 +135,8 @@
     #[must_use]
     pub fn new(pool: &MemoryPool, limit: usize) -> Self {
         Self {
-            content: Vec::new(),
+            parts: Vec::new(),
+            len: 0,
             share: pool.share(),
             limit,
         }
@@ -135,22 +149,72 @@
     /// An [`AppendError`] if the content exceeds a limit. The buffer is
     /// unchanged.
     pub fn append(&mut self, bytes: &[u8]) -> Result<(), AppendError> {
-        let needed = self.content.len() + bytes.len();
+        let needed = self.len + bytes.len();
         if needed > self.limit {
             return Err(AppendError::TooLong(self.limit));
         }
-        if needed > self.content.capacity() {
-            let doubled = (self.content.capacity() * 2).min(self.limit);
-            let capacity = needed.max(doubled);
+        let last_free = self
+            .parts
+            .last()
+            .map_or(0, |part| part.capacity() - part.len());
+        let (to_last, to_next) = bytes.split_at(bytes.len().min(last_free));
+        if to_next.is_empty() {
+            self.fill_last(to_last);
+        } else {
+            let size = self.len.min(MAX_PART_BYTES).min(self.limit - self.len);
+            let size = size.max(to_next.len());
             self.share
-                .resize(capacity)
+                .resize(self.share.held() + size)
                 .map_err(|_| AppendError::OutOfMemory(needed))?;
-            self.content.reserve_exact(capacity - self.content.len());
+            self.fill_last(to_last);
+            self.parts.push(Vec::with_capacity(size));
+            self.fill_last(to_next);
         }
-        self.content.extend_from_slice(bytes);
+        self.len = needed;
         Ok(())
     }
 
+    fn fill_last(&mut self, bytes: &[u8]) {
+        if let Some(last) = self.parts.last_mut() {
+            last.extend_from_slice(bytes);
+        }
+    }
+
+    /// Returns the number of bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether the buffer has no content.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Joins the parts.
+    #[must_use]
+    pub fn finish(mut self) -> PooledContent {
+        let parts = std::mem::take(&mut self.parts);
+        let content = match <[Vec<u8>; 1]>::try_from(parts) {
+            Ok([only]) => only,
+            Err(parts) => {
+                let mut content = Vec::with_capacity(self.len);
+                // Each part is freed once it has been copied.
+                for part in parts {
+                    content.extend_from_slice(&part);
+                }
+                content
+            }
+        };
+        PooledContent {
+            content,
+            _share: self.share,
+        }
+    }
+}
+
+impl PooledContent {
     /// Returns the content, which the pool no longer counts.
     #[must_use]
     pub fn into_content(self) -> Vec<u8> {
@@ -158,7 +222,7 @@
     }
 }
 
-impl AsRef<[u8]> for PooledBuffer {
+impl AsRef<[u8]> for PooledContent {
     fn as_ref(&self) -> &[u8] {
         &self.content
     }
--- a/crates/peridotslip/tests/memory.rs
+++ b/crates/peridotslip/tests/memory.rs
@@ -65,9 +65,10 @@
     }
 
     assert_eq!(buf.append(b"x"), Err(AppendError::TooLong(300)));
-    assert_eq!(buf.as_ref(), [7; 300]);
+    let content = buf.finish();
+    assert_eq!(content.as_ref(), [7; 300]);
     assert_eq!(pool.free(), CAPACITY - 300);
-    assert_eq!(buf.into_content(), [7; 300]);
+    assert_eq!(content.into_content(), [7; 300]);
     assert_eq!(pool.free(), CAPACITY);
 }
 
@@ -78,7 +79,7 @@
     buf.append(&[7; 400]).unwrap();
 
     assert_eq!(buf.append(&[7; 200]), Err(AppendError::OutOfMemory(600)));
-    assert_eq!(buf.as_ref(), [7; 400]);
+    assert_eq!(buf.finish().as_ref(), [7; 400]);
 }
 
 /// What happens to a buffer.
