Have followers wait at their relays in an outage of the store

Change: a follower in an outage waits at a relay, which replies once the store is back. A relay with followers watches for 0.5 s at a time and serves for 1.7 s after a read.

--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -12,7 +12,7 @@
 
 use peridotslip::{
     ids::Incarnation,
-    relay::{Change, ChangeLog, ChangeUpdate, Position, Source, SourceSelector},
+    relay::{Change, ChangeLog, ChangeUpdate, Position, Rejection, Source, SourceSelector},
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -26,21 +26,24 @@
 };
 
 /// How long a relay serves others after it has read the servers' entries, in
-/// milliseconds. Longer than its pause between two reads, and less than the
+/// milliseconds. Longer than the time from one read to the next, and less than the
 /// platform's drain time.
-const MAX_AGE_MS: u64 = 1_300;
-/// How much longer if the last read brought no change: the next one may wait for a
-/// change, in milliseconds.
-const QUIET_AGE_MS: u64 = 1_000;
+const MAX_AGE_MS: u64 = 1_700;
+/// How long after its last call a follower counts as one, in milliseconds.
+const FOLLOWER_RETENTION_MS: u64 = 5_000;
 /// How long a relay holds a call for changes of the servers' entries, in
 /// milliseconds. These calls show whether the relay still serves.
 const SERVERS_WAIT_MS: u64 = 500;
 /// Time beyond its wait after which such a call fails, in milliseconds.
 const SERVERS_SLACK_MS: u64 = 350;
-/// Such a wait after a router has read the store itself, in milliseconds. A relay
-/// holds the call until it has read as far, so this is longer than its pause
-/// between two reads.
-const CATCH_UP_WAIT_MS: u64 = 1_000;
+/// Such a wait after a router has read the store itself, and in an outage, in
+/// milliseconds. A relay holds the call until it has read as far, so this is not
+/// less than the time from one read to the next.
+const CATCH_UP_WAIT_MS: u64 = 1_400;
+/// Interval between two probes of the store by a follower in an outage, in
+/// milliseconds. After an outage, a router that is not cut off must be up to date
+/// within 3 s.
+const OWN_PROBE_INTERVAL_MS: u64 = 2_400;
 /// How long a relay holds a call for rarely changing keys, in milliseconds.
 const LONG_WAIT_MS: u64 = 5_000;
 /// Time beyond its wait after which such a call fails, in milliseconds: enough
@@ -66,11 +69,11 @@
         }
     }
 
-    /// Returns how long a relay holds a call. `was_direct`: whether the caller has
-    /// last read the store itself.
-    fn wait_ms(self, was_direct: bool) -> u64 {
+    /// Returns how long a relay holds a call. `must_catch_up`: whether the caller
+    /// may have read further than the relay.
+    fn wait_ms(self, must_catch_up: bool) -> u64 {
         match self {
-            Self::Servers if was_direct => CATCH_UP_WAIT_MS,
+            Self::Servers if must_catch_up => CATCH_UP_WAIT_MS,
             Self::Servers => SERVERS_WAIT_MS,
             Self::Table | Self::Routers => LONG_WAIT_MS,
         }
@@ -91,6 +94,8 @@
     feed: Feed,
     position: Position,
     wait_ms: u64,
+    /// Whether the store is unavailable to the follower.
+    in_outage: bool,
 }
 
 /// A relay's reply.
@@ -109,7 +114,9 @@
     NotRelay,
     /// The router is stopping.
     Stopping,
-    /// The router can't reach the store, or has last read it too long ago.
+    /// The store is unavailable to the router.
+    Outage,
+    /// The router has last read the store too long ago.
     Stale,
     /// The router does not have the changes after the follower's position.
     NotCovered,
@@ -134,6 +141,8 @@
     /// Until when this router serves others without another read of the servers'
     /// entries from the store.
     fresh_until: Mutex<Option<Instant>>,
+    /// When the last follower called.
+    last_call: Mutex<Option<Instant>>,
     selector: Mutex<SourceSelector>,
     /// Notifies the watches of relays that are passed over.
     rejected: watch::Sender<()>,
@@ -150,6 +159,7 @@
             states: Default::default(),
             changed: Default::default(),
             fresh_until: Mutex::default(),
+            last_call: Mutex::default(),
             selector: Mutex::new(SourceSelector::new(vm)),
             rejected: watch::Sender::new(()),
         }
@@ -159,10 +169,18 @@
         lock(&self.states[feed as usize])
     }
 
+    /// Returns whether other routers follow this one.
+    pub(crate) fn has_followers(&self) -> bool {
+        let retention = Duration::from_millis(FOLLOWER_RETENTION_MS);
+        lock(&self.last_call).is_some_and(|at| at.elapsed() < retention)
+    }
+
     /// Returns the relay to follow, or `None` if this router reads the store.
-    pub(crate) fn relay(&self, shared: &SharedState) -> Option<RouterInstance> {
+    /// `in_outage`: whether the store is unavailable to this router.
+    pub(crate) fn relay(&self, shared: &SharedState, in_outage: bool) -> Option<RouterInstance> {
         let candidates = shared.peers.relay_candidates();
-        let source = lock(&self.selector).select(&candidates, self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let source = lock(&self.selector).select(&candidates, in_outage, now_ms);
         match source {
             Source::Store => None,
             Source::Relay(incarnation) => shared.peers.by_incarnation(incarnation),
@@ -170,17 +188,17 @@
     }
 
     /// Passes a relay over for some time.
-    fn reject(&self, relay: &RouterInstance, feed: Feed, reason: &str) {
+    fn reject(&self, relay: &RouterInstance, feed: Feed, rejection: Rejection, reason: &str) {
         let now_ms = self.clock.now_ms();
-        lock(&self.selector).reject(relay.incarnation, now_ms);
+        lock(&self.selector).reject(relay.incarnation, rejection, now_ms);
         self.rejected.send_replace(());
         log::info!(feed = feed.name(), relay = relay.vm.as_str(), reason; "relay does not serve the store's changes; reading them elsewhere");
     }
 
     /// Waits until a relay is passed over.
-    async fn wait_rejected(&self, relay: Incarnation) {
+    async fn wait_rejected(&self, relay: Incarnation, in_outage: bool) {
         let mut rejected = self.rejected.subscribe();
-        while !lock(&self.selector).is_rejected(relay, self.clock.now_ms()) {
+        while !lock(&self.selector).is_rejected(relay, in_outage, self.clock.now_ms()) {
             if rejected.changed().await.is_err() {
                 // The sender lives as long as the process.
                 return std::future::pending().await;
@@ -200,7 +218,7 @@
         state.log.restart(position(revision));
         state.is_direct = true;
         drop(state);
-        self.record_read(feed, false);
+        self.record_read(feed);
         self.changed[feed as usize].send_replace(());
     }
 
@@ -233,7 +251,7 @@
         }
         state.log.advance(position(response.revision));
         drop(state);
-        self.record_read(feed, response.events.is_empty());
+        self.record_read(feed);
         self.changed[feed as usize].send_replace(());
     }
 
@@ -250,10 +268,9 @@
         was_direct
     }
 
-    fn record_read(&self, feed: Feed, is_quiet: bool) {
+    fn record_read(&self, feed: Feed) {
         if feed == Feed::Servers {
-            let quiet_ms = if is_quiet { QUIET_AGE_MS } else { 0 };
-            let age = Duration::from_millis(MAX_AGE_MS + quiet_ms);
+            let age = Duration::from_millis(MAX_AGE_MS);
             *lock(&self.fresh_until) = Some(Instant::now() + age);
         }
     }
@@ -267,26 +284,26 @@
 }
 
 /// Replies to a follower once there are changes, after some time without any, or
-/// when this router can't serve it.
+/// when this router can't serve it. In an outage of both, replies once the store has
+/// returned.
 pub(crate) async fn serve(shared: &Arc<SharedState>, request: &FollowRequest) -> FollowReply {
     let feeds = &shared.feeds;
+    *lock(&feeds.last_call) = Some(Instant::now());
     let wait_ms = request.wait_ms.min(LONG_WAIT_MS);
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     let mut changed = feeds.changed[request.feed as usize].subscribe();
     loop {
         let now = Instant::now();
+        let is_late = now >= deadline;
         let fresh_until = lock(&feeds.fresh_until).filter(|until| *until > now);
-        let update = match current_update(shared, request, fresh_until.is_some()) {
-            Ok(update) => update,
+        match current_update(shared, request, fresh_until.is_some()) {
+            Ok(update) if is_late || request.in_outage || !update.changes.is_empty() => {
+                return FollowReply::Changes(update);
+            }
+            Ok(_) => {}
+            Err(FollowRefusal::Behind) if !is_late => {}
+            Err(FollowRefusal::Outage) if !is_late && request.in_outage => {}
             Err(refusal) => return FollowReply::Refused(refusal),
-        };
-        let log_is_behind = feeds.state(request.feed).log.is_behind(request.position);
-        let is_behind = log_is_behind && request.feed == Feed::Servers;
-        if now >= deadline && is_behind {
-            return FollowReply::Refused(FollowRefusal::Behind);
-        }
-        if !is_behind && (now >= deadline || !update.changes.is_empty()) {
-            return FollowReply::Changes(update);
         }
         let wake_at = fresh_until.map_or(deadline, |until| until.min(deadline));
         tokio::select! {
@@ -308,44 +325,81 @@
     if !state.is_direct {
         return Err(FollowRefusal::NotRelay);
     }
-    if !is_fresh || !shared.store_availability.is_available() {
+    if !shared.store_availability.is_available() {
+        return Err(FollowRefusal::Outage);
+    }
+    if !is_fresh {
         return Err(FollowRefusal::Stale);
     }
     let update = state.log.since(request.position);
-    update.ok_or(FollowRefusal::NotCovered)
+    let update = update.ok_or(FollowRefusal::NotCovered)?;
+    // The store's revisions also count changes of other keys, so only this feed, which
+    // is read at short intervals, shows that a relay has been paused.
+    if request.feed == Feed::Servers && state.log.is_behind(request.position) {
+        return Err(FollowRefusal::Behind);
+    }
+    Ok(update)
+}
+
+/// What a relay has brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Followed {
+    /// The changes after the position.
+    Changes(WatchResponse),
+    /// The store has not returned to the relay.
+    StillOutage,
+    /// Nothing: the relay does not serve this router, or another watch has found so
+    /// meanwhile. It is passed over for some time.
+    Rejected,
 }
 
-/// Reads the changes of a feed after `revision` from a relay. Returns `None` if the
-/// relay does not serve this router, or another watch has found so meanwhile; it is
-/// passed over then.
+/// Reads the changes of a feed after `revision` from a relay. `in_outage`: whether the
+/// store is unavailable to this router.
 pub(crate) async fn follow(
     shared: &SharedState,
     relay: &RouterInstance,
     feed: Feed,
     revision: Revision,
-) -> Option<WatchResponse> {
+    in_outage: bool,
+) -> Followed {
     let feeds = &shared.feeds;
-    let wait_ms = feed.wait_ms(feeds.record_followed(feed));
+    let was_direct = feeds.record_followed(feed);
+    let wait_ms = feed.wait_ms(was_direct || in_outage);
     let request = PeerRequest::Follow(FollowRequest {
         feed,
         position: position(revision),
         wait_ms,
+        in_outage,
     });
     let timeout = Duration::from_millis(wait_ms) + feed.slack();
     let reply = tokio::select! {
         reply = shared.peers.call(relay, &request, timeout) => reply,
-        () = feeds.wait_rejected(relay.incarnation) => return None,
+        () = feeds.wait_rejected(relay.incarnation, in_outage) => return Followed::Rejected,
     };
-    let reason = match reply {
+    let (rejection, reason) = match reply {
         Ok(FollowReply::Changes(update)) if update.position >= position(revision) => {
-            return Some(watch_response(update));
+            return Followed::Changes(watch_response(update));
         }
-        Ok(FollowReply::Changes(_)) => "position went back".to_owned(),
-        Ok(FollowReply::Refused(refusal)) => format!("{refusal:?}"),
-        Err(err) => err.to_string(),
+        Ok(FollowReply::Changes(_)) => (Rejection::NoService, "position went back".to_owned()),
+        Ok(FollowReply::Refused(FollowRefusal::Outage)) if in_outage => {
+            return Followed::StillOutage;
+        }
+        Ok(FollowReply::Refused(FollowRefusal::Outage)) => (
+            Rejection::Outage,
+            "the store is unavailable to it".to_owned(),
+        ),
+        Ok(FollowReply::Refused(refusal)) => (Rejection::NoService, format!("{refusal:?}")),
+        Err(err) => (Rejection::NoService, err.to_string()),
     };
-    feeds.reject(relay, feed, &reason);
-    None
+    feeds.reject(relay, feed, rejection, &reason);
+    Followed::Rejected
+}
+
+/// Returns whether a router in an outage, which last called the store at `called_at`,
+/// probes it itself although it could wait at a relay.
+pub(crate) fn is_own_probe_due(feed: Feed, called_at: Instant) -> bool {
+    let interval = Duration::from_millis(OWN_PROBE_INTERVAL_MS);
+    feed == Feed::Servers && called_at.elapsed() >= interval
 }
 
 fn watch_response(update: ChangeUpdate) -> WatchResponse {
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -13,7 +13,7 @@
 use self::servers::ServersWatcher;
 use crate::{
     context::SharedState,
-    feeds::{self, Feed},
+    feeds::{self, Feed, Followed},
     ports::{
         Item, Listing, Revision, StoreEpoch, StoreError, StoreResult, WatchEvent, WatchResponse,
     },
@@ -60,7 +60,7 @@
     }
     /// Returns the prefix.
     fn prefix(&self) -> &str;
-    /// Returns how long a watch waits for changes.
+    /// Returns how long a watch waits for changes at most.
     fn watch_timeout(&self) -> Duration;
     /// Returns the pause between two watches.
     fn pause(&self) -> Duration;
@@ -120,31 +120,70 @@
     response.map(StoreReply::Changes)
 }
 
+/// How far a watch has come.
+struct Progress {
+    /// The revision from which to go on; `None` if all items must be listed.
+    revision: Option<Revision>,
+    /// The epoch and the time of the last reply.
+    last_reply: Option<(StoreEpoch, Instant)>,
+    /// When this watch lost the store; `None` while it has the store.
+    lost_at: Option<Instant>,
+    backoff_ms: u64,
+    /// When this watch last called the store.
+    called_at: Instant,
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self {
+            revision: None,
+            last_reply: None,
+            lost_at: None,
+            backoff_ms: FIRST_BACKOFF_MS,
+            called_at: Instant::now(),
+        }
+    }
+
+    fn record_reply(&mut self, revision: Revision) {
+        self.revision = Some(revision);
+        self.last_reply = Some((revision.epoch, Instant::now()));
+        self.lost_at = None;
+        self.backoff_ms = FIRST_BACKOFF_MS;
+    }
+
+    /// Returns when the last reply before the store was restored arrived, if it has
+    /// been restored since.
+    fn restored_after(&self, epoch: StoreEpoch) -> Option<Instant> {
+        let (replied_in, at) = self.last_reply?;
+        (replied_in < epoch).then_some(at)
+    }
+}
+
 /// Lists and watches a prefix until the process ends.
 async fn list_and_watch(shared: Arc<SharedState>, mut watcher: impl PrefixWatcher) {
-    let mut revision = None;
-    let mut backoff_ms = FIRST_BACKOFF_MS;
-    // When this watch lost the store; `None` while it has the store.
-    let mut lost_at: Option<Instant> = None;
+    let mut progress = Progress::new();
     let mut availability = shared.store_availability.subscribe();
     let mut epoch = shared.platform.store.epoch();
-    // The epoch and the time of the last reply.
-    let mut last_reply: Option<(StoreEpoch, Instant)> = None;
     let feed = watcher.feed();
     loop {
-        let probing = lost_at.is_some() || !availability.is_available();
-        if !probing
-            && let Some(after) = revision
-            && let Some(relay) = shared.feeds.relay(&shared)
+        let probing = progress.lost_at.is_some() || !availability.is_available();
+        let probe_due = probing && feeds::is_own_probe_due(feed, progress.called_at);
+        if !probe_due
+            && let Some(after) = progress.revision
+            && let Some(relay) = shared.feeds.relay(&shared, probing)
         {
-            if let Some(response) = feeds::follow(&shared, &relay, feed, after).await {
-                revision = Some(apply_changes(&mut watcher, response));
-                last_reply = revision.map(|revision| (revision.epoch, Instant::now()));
-                watcher.on_batch_end();
+            tokio::select! {
+                followed = feeds::follow(&shared, &relay, feed, after, probing) => {
+                    if let Followed::Changes(response) = followed {
+                        apply_followed(&shared, &mut watcher, &mut progress, response, probing);
+                    }
+                }
+                () = availability.changed_to(true), if probing => {}
             }
             continue;
         }
-        let started = Instant::now();
+        let revision = progress.revision;
+        progress.called_at = Instant::now();
         let outcome = tokio::select! {
             outcome = read_store(&shared, &watcher, revision, probing) => outcome,
             // Another watch has lost the store: this call may never get a
@@ -153,76 +192,99 @@
             // A watch from a revision of an earlier epoch misses changes.
             () = epoch_changed(&mut epoch, revision) => {
                 log::warn!(feed = feed.name(), epoch = epoch.borrow().0; "store was restored from an older copy; listing all keys");
-                revision = None;
+                progress.revision = None;
                 continue;
             }
         };
         match outcome {
             Ok(reply) => {
-                shared.store_availability.record_success();
-                let outage = lost_at
-                    .take()
-                    .map(|began| shared.store_availability.outage_since(began));
-                revision = Some(match reply {
-                    StoreReply::Listing(listing) => {
-                        let epoch = listing.revision.epoch;
-                        let restored_after = last_reply
-                            .filter(|(replied_in, _)| *replied_in < epoch)
-                            .map(|(_, at)| at);
-                        let cause = ListCause {
-                            outage,
-                            restored_after,
-                        };
-                        apply_listing(&shared, &mut watcher, listing, cause)
-                    }
-                    StoreReply::Changes(response) => {
-                        let from = revision.unwrap_or_default();
-                        let is_same =
-                            |key: &str, old: &[u8], new: &[u8]| watcher.is_same(key, old, new);
-                        shared.feeds.record_changes(feed, from, &response, is_same);
-                        apply_changes(&mut watcher, response)
-                    }
-                });
-                last_reply = revision.map(|revision| (revision.epoch, Instant::now()));
-                if let Some(outage) = outage {
-                    let after_ms = as_ms(outage.began.elapsed());
-                    log::info!(feed = feed.name(), after_ms, revision = revision.map(|revision| revision.number); "store is available again");
-                }
-                backoff_ms = FIRST_BACKOFF_MS;
-                watcher.on_batch_end();
+                apply_reply(&shared, &mut watcher, &mut progress, reply);
                 tokio::time::sleep(watcher.pause()).await;
             }
             Err(StoreError::Compacted) => {
                 shared.metrics.store_failed();
                 shared.store_availability.record_success();
                 log::warn!(feed = feed.name(); "store has compacted its history; listing all keys");
-                revision = None;
+                progress.revision = None;
             }
             Err(StoreError::Restored) => {
-                revision = None;
+                progress.revision = None;
                 tokio::time::sleep(Duration::from_millis(FIRST_BACKOFF_MS)).await;
             }
             Err(err) => {
                 shared.metrics.store_failed();
+                let started = progress.called_at;
                 let replied_since = shared.store_availability.record_failure(started);
-                if lost_at.is_none() {
-                    lost_at = Some(Instant::now());
+                if progress.lost_at.is_none() {
+                    progress.lost_at = Some(Instant::now());
                     log::warn!(feed = feed.name(), reason = err.to_string().as_str(); "store is unavailable; retrying");
                 }
                 let interval_rest = watcher.probe_interval().saturating_sub(started.elapsed());
-                let pause = Duration::from_millis(backoff_ms).min(interval_rest);
+                let pause = Duration::from_millis(progress.backoff_ms).min(interval_rest);
                 if !replied_since {
                     tokio::select! {
                         () = tokio::time::sleep(pause) => {}
                         () = availability.changed_to(true) => {}
                     }
                 }
-                backoff_ms = backoff_ms.saturating_mul(2);
+                progress.backoff_ms = progress.backoff_ms.saturating_mul(2);
             }
         }
     }
 }
 
+/// Applies what the store has replied.
+fn apply_reply(
+    shared: &SharedState,
+    watcher: &mut impl PrefixWatcher,
+    progress: &mut Progress,
+    reply: StoreReply,
+) {
+    shared.store_availability.record_success();
+    let feed = watcher.feed();
+    let outage = progress
+        .lost_at
+        .map(|began| shared.store_availability.outage_since(began));
+    let revision = match reply {
+        StoreReply::Listing(listing) => {
+            let cause = ListCause {
+                outage,
+                restored_after: progress.restored_after(listing.revision.epoch),
+            };
+            apply_listing(shared, watcher, listing, cause)
+        }
+        StoreReply::Changes(response) => {
+            let from = progress.revision.unwrap_or_default();
+            let is_same = |key: &str, old: &[u8], new: &[u8]| watcher.is_same(key, old, new);
+            shared.feeds.record_changes(feed, from, &response, is_same);
+            apply_changes(watcher, response)
+        }
+    };
+    progress.record_reply(revision);
+    if let Some(outage) = outage {
+        let after_ms = as_ms(outage.began.elapsed());
+        log::info!(feed = feed.name(), after_ms, revision = revision.number; "store is available again");
+    }
+    watcher.on_batch_end();
+}
+
+/// Applies what a relay has replied. `probing`: whether this router had lost the store.
+fn apply_followed(
+    shared: &SharedState,
+    watcher: &mut impl PrefixWatcher,
+    progress: &mut Progress,
+    response: WatchResponse,
+    probing: bool,
+) {
+    if probing {
+        shared.store_availability.record_success();
+        log::info!(feed = watcher.feed().name(), revision = response.revision.number; "store is available again, as a relay reads it");
+    }
+    let revision = apply_changes(watcher, response);
+    progress.record_reply(revision);
+    watcher.on_batch_end();
+}
+
 /// Applies all items under the prefix. Returns the revision from which to go on.
 fn apply_listing(
     shared: &SharedState,
--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -20,6 +20,8 @@
 /// entries change all the time, so a watch without a response soon shows that
 /// the store is unavailable.
 const WATCH_MS: u64 = 1_000;
+/// The same at a router that others follow, which must notice sooner.
+const RELAY_WATCH_MS: u64 = 500;
 /// Pause between two watches of the servers, whose entries change all the
 /// time, in milliseconds. The router must learn within the platform's drain
 /// time of 2 s that a server is leaving.
@@ -118,7 +120,12 @@
     }
 
     fn watch_timeout(&self) -> Duration {
-        Duration::from_millis(WATCH_MS)
+        let has_followers = self.shared.feeds.has_followers();
+        Duration::from_millis(if has_followers {
+            RELAY_WATCH_MS
+        } else {
+            WATCH_MS
+        })
     }
 
     fn pause(&self) -> Duration {
--- a/crates/peridotslip/src/relay.rs
+++ b/crates/peridotslip/src/relay.rs
@@ -11,6 +11,10 @@
 //! - [`rank`] orders the candidates for relays.
 //! - [`SourceSelector`] chooses whom a router follows.
 //!
+//! In an outage of the store, a relay holds its followers' calls until the store
+//! has returned. A follower probes the store itself only seldom then, for the case
+//! that only the relay is cut off.
+//!
 //! A relay keeps no snapshot. A router that starts, or whose position a relay
 //! no longer covers, reads the store.
 
@@ -19,5 +23,7 @@
 
 pub use self::{
     change_log::{Change, ChangeLog, ChangeUpdate, Position},
-    selector::{RELAYS_PER_DATA_CENTRE, RelayCandidate, Source, SourceSelector, VmSize, rank},
+    selector::{
+        RELAYS_PER_DATA_CENTRE, Rejection, RelayCandidate, Source, SourceSelector, VmSize, rank,
+    },
 };
--- a/crates/peridotslip/src/relay/selector.rs
+++ b/crates/peridotslip/src/relay/selector.rs
@@ -8,8 +8,7 @@
 
 /// Number of routers of a data centre that read the store for the others.
 pub const RELAYS_PER_DATA_CENTRE: usize = 3;
-/// How long a relay is passed over that has not replied or has refused, in
-/// milliseconds.
+/// How long a relay is passed over after a rejection, in milliseconds.
 const REJECTION_MS: u64 = 2_000;
 
 /// What a VM has to serve other routers with.
@@ -53,12 +52,22 @@
     Relay(Incarnation),
 }
 
+/// Why a relay is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The relay has not replied, or does not serve this router.
+    NoService,
+    /// The store is unavailable to the relay. A router to which it is unavailable
+    /// too may still wait there for its return.
+    Outage,
+}
+
 /// Chooses between the relays of the data centre and the store.
 #[derive(Clone, Debug)]
 pub struct SourceSelector {
     vm: String,
-    /// Until when a relay is passed over, in milliseconds.
-    rejected_until: HashMap<Incarnation, u64>,
+    /// Until when a relay is passed over, in milliseconds, and why.
+    rejected: HashMap<Incarnation, (u64, Rejection)>,
     /// Until when the store is read directly, in milliseconds.
     direct_until: u64,
 }
@@ -69,15 +78,16 @@
     pub fn new(vm: &str) -> Self {
         Self {
             vm: vm.to_owned(),
-            rejected_until: HashMap::new(),
+            rejected: HashMap::new(),
             direct_until: 0,
         }
     }
 
     /// Returns the source for this router. `ranked` are the reachable routers of
-    /// its data centre, this one included, by [`rank`].
+    /// its data centre, this one included, by [`rank`]. `in_outage`: whether the
+    /// store is unavailable to this router.
     #[must_use]
-    pub fn select(&self, ranked: &[RelayCandidate], now_ms: u64) -> Source {
+    pub fn select(&self, ranked: &[RelayCandidate], in_outage: bool, now_ms: u64) -> Source {
         let relays = &ranked[..ranked.len().min(RELAYS_PER_DATA_CENTRE)];
         if now_ms < self.direct_until || relays.iter().any(|relay| relay.vm == self.vm) {
             return Source::Store;
@@ -85,22 +95,24 @@
         // Each router prefers another relay, so that they share the followers.
         let usable = relays
             .iter()
-            .filter(|relay| !self.is_rejected(relay.incarnation, now_ms));
+            .filter(|relay| !self.is_rejected(relay.incarnation, in_outage, now_ms));
         let chosen = usable.max_by_key(|relay| rendezvous_weight(&self.vm, &relay.vm));
         chosen.map_or(Source::Store, |relay| Source::Relay(relay.incarnation))
     }
 
     /// Returns whether a relay is passed over now.
     #[must_use]
-    pub fn is_rejected(&self, relay: Incarnation, now_ms: u64) -> bool {
-        let until = self.rejected_until.get(&relay);
-        until.is_some_and(|until| now_ms < *until)
+    pub fn is_rejected(&self, relay: Incarnation, in_outage: bool, now_ms: u64) -> bool {
+        self.rejected.get(&relay).is_some_and(|(until, rejection)| {
+            now_ms < *until && !(in_outage && *rejection == Rejection::Outage)
+        })
     }
 
     /// Passes a relay over for some time.
-    pub fn reject(&mut self, relay: Incarnation, now_ms: u64) {
-        self.rejected_until.retain(|_, until| now_ms < *until);
-        self.rejected_until.insert(relay, now_ms + REJECTION_MS);
+    pub fn reject(&mut self, relay: Incarnation, rejection: Rejection, now_ms: u64) {
+        self.rejected.retain(|_, (until, _)| now_ms < *until);
+        self.rejected
+            .insert(relay, (now_ms + REJECTION_MS, rejection));
     }
 
     /// Has the store read directly for `duration_ms` milliseconds.
--- a/crates/peridotslip/tests/relay.rs
+++ b/crates/peridotslip/tests/relay.rs
@@ -5,7 +5,7 @@
 use peridotslip::{
     ids::Incarnation,
     relay::{
-        Change, ChangeLog, Position, RELAYS_PER_DATA_CENTRE, RelayCandidate, Source,
+        Change, ChangeLog, Position, RELAYS_PER_DATA_CENTRE, Rejection, RelayCandidate, Source,
         SourceSelector, VmSize, rank,
     },
 };
@@ -224,7 +224,7 @@
         let mut candidates = fleet(count, SMALL);
         rank(NORTH, &mut candidates);
         for candidate in &candidates {
-            let source = SourceSelector::new(&candidate.vm).select(&candidates, 0);
+            let source = SourceSelector::new(&candidate.vm).select(&candidates, false, 0);
             assert_eq!(source, Source::Store);
         }
     }
@@ -237,7 +237,7 @@
     let mut followers: BTreeMap<Incarnation, usize> = BTreeMap::new();
 
     for candidate in &candidates {
-        let source = SourceSelector::new(&candidate.vm).select(&candidates, 0);
+        let source = SourceSelector::new(&candidate.vm).select(&candidates, false, 0);
         if let Source::Relay(relay) = source {
             *followers.entry(relay).or_default() += 1;
         }
@@ -260,14 +260,14 @@
     let mut selector = SourceSelector::new(&candidates[9].vm);
 
     for _ in 0..RELAYS_PER_DATA_CENTRE {
-        let Source::Relay(relay) = selector.select(&candidates, 0) else {
+        let Source::Relay(relay) = selector.select(&candidates, false, 0) else {
             panic!("a relay is left");
         };
-        selector.reject(relay, 0);
+        selector.reject(relay, Rejection::NoService, 0);
     }
 
-    assert_eq!(selector.select(&candidates, 100), Source::Store);
-    assert_ne!(selector.select(&candidates, 60_000), Source::Store);
+    assert_eq!(selector.select(&candidates, false, 100), Source::Store);
+    assert_ne!(selector.select(&candidates, false, 60_000), Source::Store);
 }
 
 #[test]
@@ -278,6 +278,22 @@
 
     selector.read_directly(30_000, 1_000);
 
-    assert_eq!(selector.select(&candidates, 30_999), Source::Store);
-    assert_ne!(selector.select(&candidates, 31_000), Source::Store);
+    assert_eq!(selector.select(&candidates, false, 30_999), Source::Store);
+    assert_ne!(selector.select(&candidates, false, 31_000), Source::Store);
+}
+
+/// Guards against an outage in which all routers probe the store: a follower waits at
+/// a relay that has lost the store too.
+#[test]
+fn in_an_outage_a_follower_waits_at_a_relay_that_has_lost_the_store() {
+    let mut candidates = fleet(10, SMALL);
+    rank(NORTH, &mut candidates);
+    let mut selector = SourceSelector::new(&candidates[9].vm);
+
+    for relay in &candidates[..RELAYS_PER_DATA_CENTRE] {
+        selector.reject(relay.incarnation, Rejection::Outage, 0);
+    }
+
+    assert_eq!(selector.select(&candidates, false, 100), Source::Store);
+    assert_ne!(selector.select(&candidates, true, 100), Source::Store);
 }
