Send observations of servers through relays

Ruled out: closing idle connections (what is priced is the peak).

Change: `relay::news_route`: followers send to the relays of their data centre, relays to all relays and to the routers of their own. The crash evidence logs what a relay passes on; limits that are new to a relay count as unpublished. Routers of releases without relays are told by the relays.

Result: tests/relay.rs: three steps, at most 3 connections a follower, at 7, 73, 195 and 330 routers, also with two relays of each data centre lost.

--- a/crates/peridotslip-edge/src/crash_watch.rs
+++ b/crates/peridotslip-edge/src/crash_watch.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -39,6 +39,8 @@
     /// Notifies of changes of the blocked segments.
     blocks_changed: watch::Sender<()>,
     assessed_ms: AtomicU64,
+    /// Whether this router passes on what its peers have observed.
+    is_relay: AtomicBool,
 }
 
 impl CrashWatch {
@@ -48,6 +50,7 @@
             clock,
             blocks_changed: watch::Sender::new(()),
             assessed_ms: AtomicU64::new(clock.now_ms()),
+            is_relay: AtomicBool::new(true),
         }
     }
 
@@ -70,9 +73,16 @@
         self.lock().record_answer(segments, self.clock.now_ms());
     }
 
-    /// Adds the observations of a peer.
+    /// Adds the observations of a peer. A relay passes them on.
     pub(crate) fn merge(&self, observations: &[CrashObservation]) {
-        self.lock().merge(observations, self.clock.now_ms());
+        let pass_on = self.passes_on();
+        self.lock()
+            .merge(observations, pass_on, self.clock.now_ms());
+    }
+
+    /// Returns whether this router passes on what its peers have observed.
+    pub(crate) fn passes_on(&self) -> bool {
+        self.is_relay.load(Ordering::Relaxed)
     }
 
     /// Returns all that is known, for a router that starts.
@@ -137,22 +147,27 @@
     });
 }
 
-/// Sends this router's observations to its peers.
+/// Sends the observations that this router has made, or passes on as a relay, to its
+/// peers.
 async fn share(shared: Arc<SharedState>) {
     let (peers, crashes) = (&shared.peers, &shared.crashes);
     // The first observation that a router has not yet confirmed.
     let mut unconfirmed: HashMap<Incarnation, u64> = HashMap::new();
     loop {
-        tokio::time::sleep(peers.share_interval()).await;
+        let targets = peers.news_targets();
+        crashes.is_relay.store(targets.is_relay, Ordering::Relaxed);
+        tokio::time::sleep(targets.share_interval()).await;
         let next_seq = crashes.lock().next_seq();
-        let others = peers.others();
-        unconfirmed
-            .retain(|incarnation, _| others.iter().any(|peer| peer.incarnation == *incarnation));
-        let calls = others.iter().filter_map(|peer| {
+        unconfirmed.retain(|incarnation, _| {
+            let mut routers = targets.routers.iter();
+            routers.any(|peer| peer.incarnation == *incarnation)
+        });
+        let calls = targets.routers.iter().filter_map(|peer| {
             let from = unconfirmed.get(&peer.incarnation).copied().unwrap_or(0);
-            let due = from < next_seq && peer.shares_observations() && peers.is_reachable(peer);
+            let due = from < next_seq && peers.is_reachable(peer);
             due.then_some(async move {
-                let (next, observations) = crashes.lock().own_since(from, crashes.clock.now_ms());
+                let now_ms = crashes.clock.now_ms();
+                let (next, observations) = crashes.lock().outgoing_since(from, now_ms);
                 let request = PeerRequest::ShareCrashes(observations);
                 let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
                 let reply = peers.call::<_, bool>(peer, &request, timeout).await;
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -9,7 +9,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -17,7 +17,7 @@
 use peridotslip::{
     ids::Incarnation,
     members::rendezvous_weight,
-    relay::{RelayCandidate, VmSize, rank},
+    relay::{NewsMember, RelayCandidate, VmSize, news_route, rank},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -48,9 +48,9 @@
 /// Shortest interval between two messages with observations to a peer, in
 /// milliseconds.
 const MIN_SHARE_INTERVAL_MS: u64 = 100;
-/// Interval between two such messages, for each router of the fleet, in
+/// Interval between two such messages, for each router to which they go, in
 /// milliseconds. Bounds how many messages a router gets.
-const SHARE_INTERVAL_PER_ROUTER_MS: u64 = 10;
+const SHARE_INTERVAL_PER_TARGET_MS: u64 = 5;
 /// Longest interval between two such messages, in milliseconds.
 const MAX_SHARE_INTERVAL_MS: u64 = 1_000;
 
@@ -99,11 +99,39 @@
     leaving: bool,
 }
 
+/// The routers to which this one sends observations of servers.
+#[derive(Clone, Debug)]
+pub(crate) struct NewsTargets {
+    /// Whether this router also passes on what others send it.
+    pub(crate) is_relay: bool,
+    pub(crate) routers: Vec<RouterInstance>,
+}
+
+impl NewsTargets {
+    /// Returns the interval between two messages with observations to a router.
+    pub(crate) fn share_interval(&self) -> Duration {
+        let targets = u64::try_from(self.routers.len()).unwrap_or(u64::MAX);
+        let interval_ms = targets.saturating_mul(SHARE_INTERVAL_PER_TARGET_MS);
+        Duration::from_millis(interval_ms.clamp(MIN_SHARE_INTERVAL_MS, MAX_SHARE_INTERVAL_MS))
+    }
+}
+
+/// The relays among the reachable routers.
+struct RelayView {
+    /// The number of changes of the peers when the view was made.
+    changes: u64,
+    candidates: Arc<[RelayCandidate]>,
+    news_targets: NewsTargets,
+}
+
 /// The other routers of the fleet.
 pub(crate) struct Peers {
     local: RouterInstance,
     local_vm: VmProfile,
     others: Mutex<BTreeMap<String, Peer>>,
+    /// Number of changes of the routers that are known, reachable or leaving.
+    changes: AtomicU64,
+    relay_view: Mutex<Option<RelayView>>,
     /// Whether all entries in the store have been read once.
     synced: AtomicBool,
     client: Client,
@@ -127,6 +155,8 @@
             local,
             local_vm,
             others: Mutex::default(),
+            changes: AtomicU64::new(0),
+            relay_view: Mutex::default(),
             synced: AtomicBool::new(false),
             client: Client::default(),
             start: OnceLock::new(),
@@ -207,23 +237,68 @@
 
     /// Returns the routers of this data centre that may be relays, this one
     /// included, in the order in which they become relays.
-    pub(crate) fn relay_candidates(&self) -> Vec<RelayCandidate> {
-        let data_centre = self.local_vm.data_centre.as_str();
-        let candidate = |instance: &RouterInstance, vm: &VmProfile| RelayCandidate {
-            vm: instance.vm.clone(),
-            incarnation: instance.incarnation,
-            size: vm.size,
-        };
-        let mut candidates: Vec<RelayCandidate> = self
+    pub(crate) fn relay_candidates(&self) -> Arc<[RelayCandidate]> {
+        self.with_relay_view(|view| view.candidates.clone())
+    }
+
+    /// Returns to whom this router sends observations of servers.
+    pub(crate) fn news_targets(&self) -> NewsTargets {
+        self.with_relay_view(|view| view.news_targets.clone())
+    }
+
+    fn with_relay_view<T>(&self, f: impl FnOnce(&RelayView) -> T) -> T {
+        let mut view = self
+            .relay_view
             .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let changes = self.changes.load(Ordering::Relaxed);
+        match &*view {
+            Some(known) if known.changes == changes => f(known),
+            _ => f(view.insert(self.make_relay_view(changes))),
+        }
+    }
+
+    fn make_relay_view(&self, changes: u64) -> RelayView {
+        let member = |instance: &RouterInstance, vm: &VmProfile| NewsMember {
+            router: RelayCandidate {
+                vm: instance.vm.clone(),
+                incarnation: instance.incarnation,
+                size: vm.size,
+            },
+            data_centre: vm.data_centre.clone(),
+            may_relay: instance.relays(),
+        };
+        let peers = self.lock();
+        let reachable = peers
             .values()
-            .filter(|peer| peer.reachable && !peer.leaving && peer.instance.relays())
-            .filter(|peer| peer.vm.data_centre == data_centre)
-            .map(|peer| candidate(&peer.instance, &peer.vm))
+            .filter(|peer| peer.reachable && !peer.leaving && peer.instance.shares_observations());
+        let mut members: Vec<NewsMember> = reachable
+            .map(|peer| member(&peer.instance, &peer.vm))
             .collect();
-        candidates.push(candidate(&self.local, &self.local_vm));
+        members.push(member(&self.local, &self.local_vm));
+        let route = news_route(&self.local.vm, &members);
+        let others = peers.values().map(|peer| &peer.instance);
+        let targets = others.filter(|other| route.targets.contains(&other.incarnation));
+        let news_targets = NewsTargets {
+            is_relay: route.is_relay,
+            routers: targets.cloned().collect(),
+        };
+        drop(peers);
+        let data_centre = self.local_vm.data_centre.as_str();
+        let candidates = members
+            .into_iter()
+            .filter(|member| member.may_relay && member.data_centre == data_centre);
+        let mut candidates: Vec<RelayCandidate> = candidates.map(|member| member.router).collect();
         rank(data_centre, &mut candidates);
-        candidates
+        RelayView {
+            changes,
+            candidates: candidates.into(),
+            news_targets,
+        }
+    }
+
+    fn record_change(&self) {
+        self.changes.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Records that all entries in the store have been read.
@@ -261,6 +336,7 @@
             leaving: false,
         };
         peers.insert(instance.vm, peer);
+        self.record_change();
     }
 
     /// Returns whether the entry of a VM's router is known.
@@ -272,6 +348,7 @@
     pub(crate) fn remove(&self, vm: &str) {
         if let Some(peer) = self.lock().remove(vm) {
             self.record_end(peer.instance.incarnation);
+            self.record_change();
             log::info!(peer = vm; "peer removed");
         }
     }
@@ -318,13 +395,6 @@
         self.lock().len() + 1
     }
 
-    /// Returns the interval between two messages with observations to a peer.
-    pub(crate) fn share_interval(&self) -> Duration {
-        let fleet = u64::try_from(self.fleet_size()).unwrap_or(u64::MAX);
-        let interval_ms = fleet.saturating_mul(SHARE_INTERVAL_PER_ROUTER_MS);
-        Duration::from_millis(interval_ms.clamp(MIN_SHARE_INTERVAL_MS, MAX_SHARE_INTERVAL_MS))
-    }
-
     /// Marks the router with this incarnation as leaving: its process is about
     /// to end or has ended.
     pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
@@ -334,6 +404,7 @@
             && !peer.leaving
         {
             peer.leaving = true;
+            self.record_change();
             log::info!(peer = peer.instance.vm.as_str(); "peer is leaving");
         }
     }
@@ -397,6 +468,7 @@
             return;
         }
         peer.reachable = reachable;
+        self.record_change();
         let peer = instance.vm.as_str();
         if reachable {
             log::info!(peer; "peer responds again; marking it reachable");
--- a/crates/peridotslip-edge/src/server_limits.rs
+++ b/crates/peridotslip-edge/src/server_limits.rs
@@ -126,11 +126,13 @@
     }
 }
 
-/// Adds what a peer knows of limits.
+/// Adds what a peer knows of limits. A relay passes it on.
 pub(crate) fn merge(shared: &SharedState, news: &[LimitNews]) {
     let now_ms = shared.clock.now_ms();
+    let pass_on = shared.crashes.passes_on();
     for news in news {
-        if shared.placement().limits_mut().merge(news, now_ms) {
+        let changed = shared.placement().limits_mut().merge(news, pass_on, now_ms);
+        if changed {
             log_change(&news.start, news.limit, "peer");
         }
     }
@@ -153,12 +155,14 @@
     }
 }
 
-/// Sends changes of limits to all peers until the process ends. A peer that misses
-/// one learns of it from a server's response or when it asks for a permit.
+/// Sends changes of limits to the peers until the process ends, directly or through
+/// relays. A peer that misses one learns of it from a server's response or when it asks
+/// for a permit.
 pub(crate) async fn publish(shared: Arc<SharedState>) {
     let peers = &shared.peers;
     loop {
-        tokio::time::sleep(peers.share_interval()).await;
+        let targets = peers.news_targets();
+        tokio::time::sleep(targets.share_interval()).await;
         let now_ms = shared.clock.now_ms();
         let news = shared.placement().limits_mut().take_unpublished(now_ms);
         if news.is_empty() {
@@ -166,10 +170,10 @@
         }
         let request = PeerRequest::ShareLimits(news);
         let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-        let others = peers.others();
-        let informed = others
+        let informed = targets
+            .routers
             .iter()
-            .filter(|peer| peer.shares_observations() && peers.is_reachable(peer));
+            .filter(|peer| peers.is_reachable(peer));
         join_all(informed.map(|peer| peers.call::<_, bool>(peer, &request, timeout))).await;
     }
 }
--- a/crates/peridotslip/src/forwarding/crash_evidence.rs
+++ b/crates/peridotslip/src/forwarding/crash_evidence.rs
@@ -41,8 +41,8 @@
 const MAX_ACCUSED: usize = 256;
 /// Maximum number of segments whose last answer is known.
 const MAX_ANSWERED: usize = 4_096;
-/// Maximum number of own observations that are kept for peers.
-const MAX_OWN: usize = 1_024;
+/// Maximum number of observations that are kept for peers.
+const MAX_OUTGOING: usize = 1_024;
 /// A later crash under a blocked segment is a failed probe from this time on
 /// after the decisive crash, in milliseconds. Earlier ones are requests that were
 /// on their way.
@@ -161,7 +161,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct OwnObservation {
+struct OutgoingObservation {
     seq: u64,
     at_ms: u64,
     event: CrashEvent,
@@ -174,7 +174,8 @@
     /// The last answer to a prompt with a segment, by the segment's hash.
     answered_ms: HashMap<u64, u64>,
     accused: HashMap<u64, Accused>,
-    own: VecDeque<OwnObservation>,
+    /// What this router sends its peers.
+    outgoing: VecDeque<OutgoingObservation>,
     next_seq: u64,
     culprits: HashMap<u64, Culprit>,
     suspects: HashSet<u64>,
@@ -205,47 +206,65 @@
         let now_ms = shifted(now_ms);
         for segment in segments {
             self.add_answer(segment.id, now_ms);
-            let Some(accused) = self.accused.get_mut(&segment.id) else {
-                continue;
-            };
-            if accused
-                .shared_answer_ms
-                .is_none_or(|at_ms| at_ms < accused.last_crash_ms)
-            {
-                accused.shared_answer_ms = Some(now_ms);
+            if self.mark_shared(segment.id, now_ms) {
                 self.log(CrashEvent::Answered(segment.id), now_ms);
             }
         }
     }
 
-    /// Adds the observations of a peer.
-    pub fn merge(&mut self, observations: &[CrashObservation], now_ms: u64) {
+    /// Returns whether peers lack an answer after the last crash under a segment, and
+    /// notes that they are sent the one at `at_ms`.
+    fn mark_shared(&mut self, segment: u64, at_ms: u64) -> bool {
+        let Some(accused) = self.accused.get_mut(&segment) else {
+            return false;
+        };
+        let is_unshared = accused
+            .shared_answer_ms
+            .is_none_or(|shared_ms| shared_ms < accused.last_crash_ms);
+        if is_unshared {
+            accused.shared_answer_ms = Some(at_ms);
+        }
+        is_unshared
+    }
+
+    /// Adds the observations of a peer. `pass_on`: whether this router sends its
+    /// peers those that are new to it.
+    pub fn merge(&mut self, observations: &[CrashObservation], pass_on: bool, now_ms: u64) {
         let now_ms = shifted(now_ms);
         for CrashObservation { age_ms, event } in observations {
             let at_ms = now_ms.saturating_sub(*age_ms);
-            match event {
+            let new = match event {
                 CrashEvent::Ended { start, segments } => {
-                    self.add_end(start, segments, at_ms);
+                    let segments = self.add_end(start, segments, at_ms);
+                    let start = start.clone();
+                    (!segments.is_empty()).then_some(CrashEvent::Ended { start, segments })
                 }
-                CrashEvent::Answered(segment) => self.add_answer(*segment, at_ms),
+                CrashEvent::Answered(segment) => {
+                    self.add_answer(*segment, at_ms);
+                    let is_unshared = self.mark_shared(*segment, at_ms);
+                    is_unshared.then_some(CrashEvent::Answered(*segment))
+                }
+            };
+            if let Some(event) = new.filter(|_| pass_on) {
+                self.log(event, at_ms);
             }
         }
     }
 
-    /// Returns this router's own observations from the number `seq` on, and the
-    /// number of the next one.
+    /// Returns the observations that this router sends its peers from the number
+    /// `seq` on, and the number of the next one.
     #[must_use]
-    pub fn own_since(&self, seq: u64, now_ms: u64) -> (u64, Vec<CrashObservation>) {
+    pub fn outgoing_since(&self, seq: u64, now_ms: u64) -> (u64, Vec<CrashObservation>) {
         let now_ms = shifted(now_ms);
-        let own = self.own.iter().filter(|own| own.seq >= seq);
-        let observations = own.map(|own| CrashObservation {
-            age_ms: now_ms.saturating_sub(own.at_ms),
-            event: own.event.clone(),
+        let entries = self.outgoing.iter().filter(|entry| entry.seq >= seq);
+        let observations = entries.map(|entry| CrashObservation {
+            age_ms: now_ms.saturating_sub(entry.at_ms),
+            event: entry.event.clone(),
         });
         (self.next_seq, observations.collect())
     }
 
-    /// Returns the number of the next own observation.
+    /// Returns the number of the next outgoing observation.
     #[must_use]
     pub fn next_seq(&self) -> u64 {
         self.next_seq
@@ -460,10 +479,10 @@
     }
 
     fn log(&mut self, event: CrashEvent, at_ms: u64) {
-        if self.own.len() >= MAX_OWN {
-            self.own.pop_front();
+        if self.outgoing.len() >= MAX_OUTGOING {
+            self.outgoing.pop_front();
         }
-        self.own.push_back(OwnObservation {
+        self.outgoing.push_back(OutgoingObservation {
             seq: self.next_seq,
             at_ms,
             event,
@@ -488,7 +507,7 @@
         }
         self.accused
             .retain(|_, accused| is_recent(accused.last_crash_ms));
-        self.own.retain(|own| is_recent(own.at_ms));
+        self.outgoing.retain(|entry| is_recent(entry.at_ms));
         self.probes_ms.retain(|_, at_ms| is_recent(*at_ms));
     }
 }
--- a/crates/peridotslip/src/forwarding/rate_limit.rs
+++ b/crates/peridotslip/src/forwarding/rate_limit.rs
@@ -215,8 +215,9 @@
         accepted && self.set(start, limit, now_ms, now_ms, true)
     }
 
-    /// Adds what a peer knows. Returns whether the limit has changed.
-    pub fn merge(&mut self, news: &LimitNews, now_ms: u64) -> bool {
+    /// Adds what a peer knows. `pass_on`: whether this router sends its peers what is
+    /// new to it. Returns whether the limit has changed.
+    pub fn merge(&mut self, news: &LimitNews, pass_on: bool, now_ms: u64) -> bool {
         let confirmed_ms = now_ms.saturating_sub(news.age_ms);
         let known = self.servers.get(&news.start.server);
         let known = known.filter(|known| known.start == news.start);
@@ -224,7 +225,7 @@
             confirmed_ms > known.confirmed_ms
                 || (confirmed_ms == known.confirmed_ms && is_lower(news.limit, known.limit))
         });
-        accepted && self.set(&news.start, news.limit, confirmed_ms, now_ms, false)
+        accepted && self.set(&news.start, news.limit, confirmed_ms, now_ms, pass_on)
     }
 
     fn set(
@@ -296,7 +297,7 @@
                 limit: None,
                 age_ms,
             };
-            self.merge(&news, now_ms);
+            self.merge(&news, false, now_ms);
         }
         if let Some(known) = self.servers.get_mut(&start.server)
             && known.start == *start
@@ -311,7 +312,7 @@
     /// Replies to a router of a fleet of `fleet` routers that asks for a permit and
     /// knows `news`.
     pub fn grant(&mut self, news: &LimitNews, fleet: usize, now_ms: u64) -> PermitReply {
-        self.merge(news, now_ms);
+        self.merge(news, false, now_ms);
         let known = self.servers.get_mut(&news.start.server);
         let Some(known) = known.filter(|known| known.start == news.start) else {
             // Only an earlier start is asked for by a router that lags behind.
--- a/crates/peridotslip/src/relay.rs
+++ b/crates/peridotslip/src/relay.rs
@@ -10,6 +10,8 @@
 //! - [`ChangeLog`] holds what a relay passes on.
 //! - [`rank`] orders the candidates for relays.
 //! - [`SourceSelector`] chooses whom a router follows.
+//! - [`news_route`] has what one router learns reach all others through relays, so
+//!   that connections between routers don't grow with the square of the fleet.
 //!
 //! In an outage of the store, a relay holds its followers' calls until the store
 //! has returned. A follower probes the store itself only seldom then, for the case
@@ -24,6 +26,7 @@
 pub use self::{
     change_log::{Change, ChangeLog, ChangeUpdate, Position},
     selector::{
-        RELAYS_PER_DATA_CENTRE, Rejection, RelayCandidate, Source, SourceSelector, VmSize, rank,
+        NewsMember, NewsRoute, RELAYS_PER_DATA_CENTRE, Rejection, RelayCandidate, Source,
+        SourceSelector, VmSize, news_route, rank,
     },
 };
--- a/crates/peridotslip/src/relay/selector.rs
+++ b/crates/peridotslip/src/relay/selector.rs
@@ -1,6 +1,9 @@
 //! The choice of whom a router follows.
 
-use std::{cmp::Reverse, collections::HashMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +37,63 @@
     pub size: VmSize,
 }
 
+/// A router of the fleet that gets news from others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewsMember {
+    /// The router.
+    pub router: RelayCandidate,
+    /// The VM's data centre.
+    pub data_centre: String,
+    /// Whether the router's release knows relays.
+    pub may_relay: bool,
+}
+
+/// To whom a router sends what it learns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewsRoute {
+    /// Whether the router also passes on what others send it.
+    pub is_relay: bool,
+    /// The routers to which it sends.
+    pub targets: Vec<Incarnation>,
+}
+
+/// Returns to whom the router on `vm`, which is one of `members`, sends news. It
+/// reaches all members in three steps: relays send to the relays of all data centres
+/// and to the routers of their own, the others to the relays of their own.
+#[must_use]
+pub fn news_route(vm: &str, members: &[NewsMember]) -> NewsRoute {
+    let mut centres: BTreeMap<&str, Vec<RelayCandidate>> = BTreeMap::new();
+    for member in members.iter().filter(|member| member.may_relay) {
+        let centre = centres.entry(&member.data_centre).or_default();
+        centre.push(member.router.clone());
+    }
+    for (data_centre, centre) in &mut centres {
+        rank(data_centre, centre);
+        centre.truncate(RELAYS_PER_DATA_CENTRE);
+    }
+    let relays_of = |data_centre: &str| centres.get(data_centre).map_or(&[][..], Vec::as_slice);
+    let is_in = |relays: &[RelayCandidate], vm: &str| relays.iter().any(|relay| relay.vm == vm);
+    let local = members.iter().find(|member| member.router.vm == vm);
+    let data_centre = local.map_or("", |local| local.data_centre.as_str());
+    let is_relay = is_in(relays_of(data_centre), vm);
+    let is_target = |member: &&NewsMember| {
+        let its_relays = relays_of(&member.data_centre);
+        let is_local = member.data_centre == data_centre;
+        let other_is_relay = is_in(its_relays, &member.router.vm);
+        member.router.vm != vm
+            && if is_relay {
+                other_is_relay || is_local || !member.may_relay
+            } else {
+                other_is_relay && is_local
+            }
+    };
+    let targets = members.iter().filter(is_target);
+    NewsRoute {
+        is_relay,
+        targets: targets.map(|member| member.router.incarnation).collect(),
+    }
+}
+
 /// Orders the routers of a data centre: larger VMs first, then by rendezvous
 /// weight, so that no order of names decides.
 pub fn rank(data_centre: &str, candidates: &mut [RelayCandidate]) {
--- a/crates/peridotslip/tests/crash_evidence.rs
+++ b/crates/peridotslip/tests/crash_evidence.rs
@@ -241,7 +241,7 @@
     }
     let shared: Vec<_> = routers
         .iter()
-        .map(|router| router.own_since(0, 2_000).1)
+        .map(|router| router.outgoing_since(0, 2_000).1)
         .collect();
     for (number, router) in routers.iter_mut().enumerate() {
         let others = shared
@@ -250,13 +250,13 @@
             .filter(|(other, _)| *other != number);
         for (_, observations) in others {
             // A repeated message has no further effect.
-            router.merge(observations, 2_000);
-            router.merge(observations, 2_000);
+            router.merge(observations, false, 2_000);
+            router.merge(observations, false, 2_000);
         }
     }
     let mut late = CrashEvidence::default();
     // Its clock has just begun.
-    late.merge(&routers[0].snapshot(2_000), 5);
+    late.merge(&routers[0].snapshot(2_000), false, 5);
 
     for router in &mut routers {
         assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
@@ -268,10 +268,10 @@
 fn an_answer_that_another_router_saw_acquits() {
     let mut evidence = crashed(&[FIRST], CRASHES_TO_BLOCK);
     let mut other = CrashEvidence::default();
-    other.merge(&evidence.own_since(0, 1_400).1, 1_400);
+    other.merge(&evidence.outgoing_since(0, 1_400).1, false, 1_400);
     other.record_answer(&segments(&[FIRST]), 1_450);
 
-    evidence.merge(&other.own_since(0, 1_500).1, 1_500);
+    evidence.merge(&other.outgoing_since(0, 1_500).1, false, 1_500);
 
     assert_eq!(
         verdict(&mut evidence, &[FIRST], 2_000),
@@ -287,10 +287,10 @@
     // The sound segment is the later one, which is blocked if nothing else decides.
     answering.record_answer(&segments(&[0, FIRST])[1..], 500);
     let mut evidence = crashed(&[BAD, FIRST], CRASHES_TO_BLOCK);
-    answering.merge(&evidence.own_since(0, 1_400).1, 1_400);
-    evidence.merge(&answering.own_since(0, 1_500).1, 1_500);
+    answering.merge(&evidence.outgoing_since(0, 1_400).1, false, 1_400);
+    evidence.merge(&answering.outgoing_since(0, 1_500).1, false, 1_500);
     let mut late = CrashEvidence::default();
-    late.merge(&evidence.snapshot(1_600), 1_600);
+    late.merge(&evidence.snapshot(1_600), false, 1_600);
 
     for router in [&mut answering, &mut evidence, &mut late] {
         assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
@@ -463,9 +463,9 @@
             if now_ms % SHARE_MS == 0 {
                 for from in 0..routers {
                     for to in (0..routers).filter(|to| *to != from) {
-                        let (seq, observations) = fleet[from].own_since(confirmed[from][to], now_ms);
+                        let (seq, observations) = fleet[from].outgoing_since(confirmed[from][to], now_ms);
                         confirmed[from][to] = seq;
-                        fleet[to].merge(&observations, now_ms);
+                        fleet[to].merge(&observations, false, now_ms);
                     }
                 }
             }
--- a/crates/peridotslip/tests/rate_limits.rs
+++ b/crates/peridotslip/tests/rate_limits.rs
@@ -175,7 +175,7 @@
     let mut second = RateLimits::default();
 
     let news = first.take_unpublished(1_100);
-    assert!(second.merge(&news[0], 1_100));
+    assert!(second.merge(&news[0], false, 1_100));
     assert!(!second.record_notice(&start(), limited(1.0), 1_000, 1_200));
 
     assert_eq!(news.len(), 1);
@@ -192,12 +192,13 @@
         age_ms: 1_500,
     };
 
-    assert!(!limits.merge(&older, 2_000));
+    assert!(!limits.merge(&older, false, 2_000));
     assert!(limits.merge(
         &LimitNews {
             age_ms: 500,
             ..older
         },
+        false,
         2_000
     ));
 }
--- a/crates/peridotslip/tests/relay.rs
+++ b/crates/peridotslip/tests/relay.rs
@@ -5,8 +5,8 @@
 use peridotslip::{
     ids::Incarnation,
     relay::{
-        Change, ChangeLog, Position, RELAYS_PER_DATA_CENTRE, Rejection, RelayCandidate, Source,
-        SourceSelector, VmSize, rank,
+        Change, ChangeLog, NewsMember, NewsRoute, Position, RELAYS_PER_DATA_CENTRE, Rejection,
+        RelayCandidate, Source, SourceSelector, VmSize, news_route, rank,
     },
 };
 use proptest::prelude::*;
@@ -297,3 +297,113 @@
     assert_eq!(selector.select(&candidates, false, 100), Source::Store);
     assert_ne!(selector.select(&candidates, true, 100), Source::Store);
 }
+
+/// Returns a fleet of routers over five data centres, three of each on larger VMs.
+fn members(count: u32) -> Vec<NewsMember> {
+    let member = |number| {
+        let size = if number < 15 { LARGE } else { SMALL };
+        NewsMember {
+            router: candidate(number, size),
+            data_centre: format!("centre-{}", number % 5),
+            may_relay: true,
+        }
+    };
+    (0..count).map(member).collect()
+}
+
+fn routes(members: &[NewsMember]) -> Vec<NewsRoute> {
+    let vms = members.iter().map(|member| &member.router.vm);
+    vms.map(|vm| news_route(vm, members)).collect()
+}
+
+/// Returns how many steps it takes until all live members know what the first one has
+/// learned, and how many messages. `dead` are members that the others still count as
+/// reachable.
+fn spread(
+    members: &[NewsMember],
+    routes: &[NewsRoute],
+    origin: usize,
+    dead: &HashSet<usize>,
+) -> Option<(usize, usize)> {
+    let index_of: BTreeMap<Incarnation, usize> = members
+        .iter()
+        .enumerate()
+        .map(|(index, member)| (member.router.incarnation, index))
+        .collect();
+    let mut knowing = HashSet::from([origin]);
+    let mut senders = vec![origin];
+    let (mut steps, mut messages) = (0, 0);
+    while knowing.len() < members.len() - dead.len() {
+        let mut informed = Vec::new();
+        for sender in senders {
+            let route = &routes[sender];
+            if sender != origin && !route.is_relay {
+                continue;
+            }
+            messages += route.targets.len();
+            informed.extend(route.targets.iter().map(|target| index_of[target]));
+        }
+        informed.retain(|index| !dead.contains(index) && knowing.insert(*index));
+        if informed.is_empty() {
+            return None;
+        }
+        senders = informed;
+        steps += 1;
+    }
+    Some((steps, messages))
+}
+
+/// Guards against messages and connections that grow with the square of the fleet:
+/// each router sent each observation to all others itself.
+#[test]
+fn news_reach_all_routers_in_three_steps_over_few_connections() {
+    for count in [7, 73, 195, 330] {
+        let members = members(count);
+        let size = usize::try_from(count).unwrap();
+        let routes = routes(&members);
+        let mut targets = 0;
+        for route in &routes {
+            let most = if route.is_relay { size / 5 + 16 } else { 3 };
+            assert!(route.targets.len() <= most, "{count}: {route:?}");
+            targets += route.targets.len();
+        }
+        assert!(targets <= 6 * size + 15 * 14, "{count}: {targets}");
+        for origin in 0..size {
+            let (steps, messages) = spread(&members, &routes, origin, &HashSet::new()).unwrap();
+            assert!(steps <= 3, "{count}, {origin}: {steps} steps");
+            assert!(messages <= 3 * size + 15 * 15, "{count}: {messages}");
+        }
+    }
+}
+
+/// Guards against news that depend on a single relay.
+#[test]
+fn news_pass_two_lost_relays_of_each_data_centre() {
+    let members = members(195);
+    let dead: HashSet<usize> = (0..10).collect();
+
+    let spread = spread(&members, &routes(&members), 100, &dead);
+
+    assert!(spread.is_some_and(|(steps, _)| steps <= 3), "{spread:?}");
+}
+
+/// Guards against a release that knows no relays and is left out.
+#[test]
+fn routers_without_relays_get_news_too() {
+    let mut members = members(73);
+    for member in &mut members[60..] {
+        member.may_relay = false;
+        member.data_centre = String::new();
+        member.router.size = VmSize::default();
+    }
+
+    let relay = news_route("vm-0", &members);
+    let follower = news_route("vm-20", &members);
+
+    let old: Vec<Incarnation> = members[60..]
+        .iter()
+        .map(|member| member.router.incarnation)
+        .collect();
+    assert!(old.iter().all(|old| relay.targets.contains(old)));
+    assert!(!old.iter().any(|old| follower.targets.contains(old)));
+}
