Keep all routers together within a server's connections

Cause: a server's `max-conns` is a sum over all routers, and each might open twice an even share and at least four: 330 routers 2,310 where 1,200 are allowed, above all when a server returns; the server resets the rest. Ruled out: permits from one router (a call for each connection).

Change: `forwarding::connection_share`: an even division, and the remainder to the first routers in an order that differs from server to server.

Routers that do not know the whole fleet yet, right after a start, may still pass it.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -16,7 +16,7 @@
 use peridotslip::{
     forwarding::{
         AttemptOutcome, PromptSegment, SelectedServer, Selection, ServerEntry, ServerId,
-        ServerStart, ServerVersion,
+        ServerStart, ServerVersion, connection_share,
     },
     ledger::RequestUsage,
 };
@@ -36,12 +36,6 @@
 
 /// The server's limit admits no request now.
 const NO_PERMIT: AttemptError = AttemptError::NotRun("no-permit");
-/// Connections to a server that a router may open even if its share of the
-/// limit is smaller.
-const MIN_CONNECTIONS: usize = 4;
-/// Connections that a router may open to a server, as a multiple of an even
-/// share of the limit. Traffic is not spread evenly over the routers.
-const CONNECTION_SHARE: usize = 2;
 /// Shortest remaining time for which a request is still sent, in milliseconds.
 const MIN_USEFUL_MS: u128 = 5;
 
@@ -257,7 +251,7 @@
             in_flight.end(AttemptOutcome::Neutral);
             return Err(NO_PERMIT);
         }
-        let max_connections = connection_limit(cx);
+        let max_connections = connection_limit(cx, server);
         let mut connection = match cx.shared.upstream.acquire(server, max_connections).await {
             Ok(connection) => connection,
             Err(AcquireError::Limit) => {
@@ -416,12 +410,12 @@
     }
 }
 
-/// Returns how many connections to one server this router may have.
-fn connection_limit(cx: &RequestContext) -> usize {
+/// Returns how many connections to a server this router may have.
+fn connection_limit(cx: &RequestContext, server: &ServerEntry) -> usize {
     let service = cx.index.service(&cx.service);
     let fleet_limit = service.map_or(0, |service| service.max_connections as usize);
-    let share = fleet_limit * CONNECTION_SHARE / cx.shared.peers.fleet_size();
-    share.max(MIN_CONNECTIONS)
+    let peers = &cx.shared.peers;
+    connection_share(fleet_limit, peers.fleet_size(), peers.rank(&server.id))
 }
 
 fn build_request(
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -439,6 +439,16 @@
         fleet
     }
 
+    /// Returns the place of this router in the fleet by descending rendezvous weight
+    /// for `key`, from 0.
+    pub(crate) fn rank(&self, key: &str) -> usize {
+        let local_weight = rendezvous_weight(key, &self.local.vm);
+        let peers = self.lock();
+        let vms = peers.keys();
+        vms.filter(|vm| rendezvous_weight(key, vm) > local_weight)
+            .count()
+    }
+
     /// Returns whether a router responded to its last call.
     pub(crate) fn is_reachable(&self, instance: &RouterInstance) -> bool {
         let peers = self.lock();
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -9,6 +9,7 @@
 //! requests servers take from all routers together, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
 //! orders waiting requests.
 
+mod connection_share;
 mod crash_evidence;
 mod draining;
 mod index;
@@ -21,6 +22,7 @@
 mod table;
 
 pub use self::{
+    connection_share::connection_share,
     crash_evidence::{BlockChange, CrashEvent, CrashEvidence, CrashObservation, PromptVerdict},
     index::{RouteMatch, RoutingIndex},
     origin::{
