Announce a leaving router through relays

Cause: a router that stops told all others itself, so that each roll opened a connection between each pair of routers.

Change: it tells its relays, which pass it on; all others if no relay replies.

--- a/crates/peridotslip-edge/src/budgets/lending.rs
+++ b/crates/peridotslip-edge/src/budgets/lending.rs
@@ -179,18 +179,7 @@
     pub(crate) async fn leave(self: &Arc<Self>) {
         self.leaving.store(true, Ordering::Relaxed);
         self.transfer_all().await;
-        let request = PeerRequest::Leaving {
-            incarnation: self.peers.local().incarnation,
-        };
-        for peer in self.peers.ranked("", false) {
-            let (peers, request) = (self.peers.clone(), request.clone());
-            tokio::spawn(async move {
-                let timeout = Duration::from_millis(CALL_SLACK_MS);
-                let reply: crate::rpc::Result<bool> = peers.call(&peer, &request, timeout).await;
-                if let Err(err) = reply {
-                    log::debug!("peer did not acknowledge the shutdown of this router: {err}");
-                }
-            });
-        }
+        let (peers, local) = (self.peers.clone(), self.peers.local().incarnation);
+        tokio::spawn(async move { peers.announce_leaving(local).await });
     }
 }
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -14,6 +14,7 @@
     time::{Duration, Instant},
 };
 
+use futures::future::join_all;
 use peridotslip::{
     ids::Incarnation,
     members::rendezvous_weight,
@@ -22,6 +23,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
+    budgets::PeerRequest,
     ports::StoreEpoch,
     registry::Entry,
     rpc::{self, Client, RpcRequest},
@@ -39,6 +41,10 @@
 /// Longest wait for the response to a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
 
+/// Longest wait for the reply to the announcement that a router is leaving, in
+/// milliseconds.
+const LEAVING_TIMEOUT_MS: u64 = 150;
+
 /// The first version of the messages between routers that has those about
 /// observations of servers.
 const OBSERVATIONS_PROTOCOL: u32 = 4;
@@ -396,19 +402,51 @@
     }
 
     /// Marks the router with this incarnation as leaving: its process is about
-    /// to end or has ended.
-    pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
+    /// to end or has ended. Returns whether that is new.
+    pub(crate) fn set_leaving(&self, incarnation: Incarnation) -> bool {
         let mut peers = self.lock();
         let mut others = peers.values_mut();
-        if let Some(peer) = others.find(|peer| peer.instance.incarnation == incarnation)
-            && !peer.leaving
-        {
-            peer.leaving = true;
-            self.record_change();
-            log::info!(peer = peer.instance.vm.as_str(); "peer is leaving");
+        let peer = others.find(|peer| peer.instance.incarnation == incarnation);
+        let Some(peer) = peer.filter(|peer| !peer.leaving) else {
+            return false;
+        };
+        peer.leaving = true;
+        self.record_change();
+        log::info!(peer = peer.instance.vm.as_str(); "peer is leaving");
+        true
+    }
+
+    /// Announces that a router is leaving, this one or one that has told this relay.
+    /// Followers tell their relays only, which pass it on.
+    pub(crate) async fn announce_leaving(self: &Arc<Self>, incarnation: Incarnation) {
+        let targets = self.news_targets();
+        let mut told = self.call_leaving(targets.routers, incarnation).await;
+        if !told {
+            told = self.call_leaving(self.others(), incarnation).await;
+        }
+        if !told {
+            log::warn!(
+                "no peer has been told that a router is leaving; they notice when it has ended"
+            );
         }
     }
 
+    /// Returns whether any of `routers` has replied.
+    async fn call_leaving(
+        self: &Arc<Self>,
+        routers: Vec<RouterInstance>,
+        incarnation: Incarnation,
+    ) -> bool {
+        let request = PeerRequest::Leaving { incarnation };
+        let timeout = Duration::from_millis(LEAVING_TIMEOUT_MS);
+        let others = routers
+            .iter()
+            .filter(|router| router.incarnation != incarnation);
+        let calls = others.map(|router| self.call::<_, bool>(router, &request, timeout));
+        let replies = join_all(calls).await;
+        replies.iter().any(Result::is_ok)
+    }
+
     /// Returns the reachable routers that are not leaving, including this one if
     /// `include_self`, by descending rendezvous weight for `key`, an
     /// organisation's name.
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -261,7 +261,11 @@
             budget,
         } => PeerResponse::Ceiling(shared.budgets.seal_ceiling(witness, holder, &budget)),
         PeerRequest::Leaving { incarnation } => {
-            shared.peers.set_leaving(incarnation);
+            let is_new = shared.peers.set_leaving(incarnation);
+            if is_new && shared.crashes.passes_on() {
+                let peers = shared.peers.clone();
+                tokio::spawn(async move { peers.announce_leaving(incarnation).await });
+            }
             PeerResponse::Done(true)
         }
         PeerRequest::RecordOrigin {
