--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -169,6 +169,11 @@
         lock(&self.states[feed as usize])
     }
 
+    /// Returns whether this router reads the servers' entries from a relay.
+    pub(crate) fn is_follower(&self) -> bool {
+        !self.state(Feed::Servers).is_direct
+    }
+
     /// Returns whether other routers follow this one.
     pub(crate) fn has_followers(&self) -> bool {
         let retention = Duration::from_millis(FOLLOWER_RETENTION_MS);
--- a/crates/peridotslip-edge/src/server_versions.rs
+++ b/crates/peridotslip-edge/src/server_versions.rs
@@ -16,6 +16,9 @@
 /// How long after a restore of the store an earlier write may take effect, in
 /// milliseconds.
 const LATE_WRITE_MS: u64 = 10_000;
+/// How long a router that follows others leaves a new version to its relays, in
+/// milliseconds, so that it finds the version registered.
+const RELAYS_FIRST_MS: u64 = 300;
 /// Pause after the first failed call to the store, in milliseconds; doubled after
 /// each further one.
 const FIRST_BACKOFF_MS: u64 = 100;
@@ -27,6 +30,9 @@
     let mut epoch = shared.platform.store.epoch();
     let mut check_again_at: Option<Instant> = None;
     loop {
+        if shared.feeds.is_follower() && unregistered(&shared).is_some() {
+            tokio::time::sleep(Duration::from_millis(RELAYS_FIRST_MS)).await;
+        }
         while let Some((service, versions)) = unregistered(&shared) {
             register_with_retries(&shared, &service, &versions).await;
         }
