Ping the store in outages, and return to it when a relay fails

A follower that probed each 2.4 s could not tell when the store had returned to it, and removed live servers too early after a compaction; the table waited at three stale relays one after the other. Ruled out: a relay's knowledge of the return (its own cut may be another one, and then a server that left would be used too long); own probes of the full price (1.25 calls a second a router in each cut).

Change: beside the relay, a follower in an outage pings the store each 0.8 s with a read that may be old, at a tenth of the price. When a relay does not serve it, a watch of servers goes to the store at once, as another relay may have read less; the other watches wait for what it finds. Each watch notes its own outage.

Result: platform/tests/feeds.rs and following.rs pass.

--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -22,7 +22,7 @@
     clock::Clock,
     context::SharedState,
     peers::RouterInstance,
-    ports::{Item, Revision, StoreEpoch, WatchEvent, WatchResponse},
+    ports::{Item, Revision, StoreEpoch, StoreError, WatchEvent, WatchResponse},
 };
 
 /// How long a relay serves others after it has read the servers' entries, in
@@ -40,10 +40,9 @@
 /// milliseconds. A relay holds the call until it has read as far, so this is not
 /// less than the time from one read to the next.
 const CATCH_UP_WAIT_MS: u64 = 1_400;
-/// Interval between two probes of the store by a follower in an outage, in
-/// milliseconds. After an outage, a router that is not cut off must be up to date
-/// within 3 s.
-const OWN_PROBE_INTERVAL_MS: u64 = 2_400;
+/// Interval between two pings of the store by a follower in an outage, in
+/// milliseconds. Bounds how precisely the store's return to this router is known.
+const PING_INTERVAL_MS: u64 = 800;
 /// How long a relay holds a call for rarely changing keys, in milliseconds.
 const LONG_WAIT_MS: u64 = 5_000;
 /// Time beyond its wait after which such a call fails, in milliseconds: enough
@@ -400,11 +399,38 @@
     Followed::Rejected
 }
 
-/// Returns whether a router in an outage, which last called the store at `called_at`,
-/// probes it itself although it could wait at a relay.
-pub(crate) fn is_own_probe_due(feed: Feed, called_at: Instant) -> bool {
-    let interval = Duration::from_millis(OWN_PROBE_INTERVAL_MS);
-    feed == Feed::Servers && called_at.elapsed() >= interval
+/// Waits in an outage until the store has returned to a relay.
+pub(crate) async fn wait_at_relay(
+    shared: &SharedState,
+    relay: &RouterInstance,
+    feed: Feed,
+    revision: Revision,
+) -> Followed {
+    loop {
+        let followed = follow(shared, relay, feed, revision, true).await;
+        if followed != Followed::StillOutage {
+            return followed;
+        }
+    }
+}
+
+/// Waits in an outage until the store replies to this router, which may happen before
+/// or after it replies to the relay.
+pub(crate) async fn ping_until_reachable(shared: &SharedState) {
+    loop {
+        let sent_at = Instant::now();
+        shared.metrics.store_call("ping");
+        let Err(err) = shared.platform.store.ping().await else {
+            return;
+        };
+        if err == StoreError::Restored {
+            return;
+        }
+        shared.metrics.store_failed();
+        shared.store_availability.record_failure(sent_at);
+        let interval = Duration::from_millis(PING_INTERVAL_MS);
+        tokio::time::sleep(interval.saturating_sub(sent_at.elapsed())).await;
+    }
 }
 
 fn watch_response(update: ChangeUpdate) -> WatchResponse {
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -152,6 +152,11 @@
         Ok((Revision::absent(epoch), None))
     }
 
+    /// Checks cheaply whether the store replies. What it replies may be old.
+    async fn ping(&self) -> StoreResult<()> {
+        self.get("ping").await.map(|_| ())
+    }
+
     /// Reads all keys that begin with `prefix`.
     async fn list(&self, prefix: &str) -> StoreResult<Listing>;
 
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -45,6 +45,8 @@
 /// reply to any watch ends the pauses of all.
 const PROBE_INTERVAL_MS: u64 = 3_200;
 
+/// Pause of a rarely changing feed after a relay did not serve it, in milliseconds.
+const REJECTED_PAUSE_MS: u64 = 400;
 /// How long after a restore of the store all routers read it directly, in
 /// milliseconds. Until servers have written their entries again, it matters also
 /// which entries they rewrite unchanged.
@@ -131,6 +133,8 @@
     backoff_ms: u64,
     /// When this watch last called the store.
     called_at: Instant,
+    /// Whether the next call goes to the store although there may be a relay.
+    must_call: bool,
 }
 
 impl Progress {
@@ -141,6 +145,7 @@
             lost_at: None,
             backoff_ms: FIRST_BACKOFF_MS,
             called_at: Instant::now(),
+            must_call: false,
         }
     }
 
@@ -167,21 +172,40 @@
     let feed = watcher.feed();
     loop {
         let probing = progress.lost_at.is_some() || !availability.is_available();
-        let probe_due = probing && feeds::is_own_probe_due(feed, progress.called_at);
-        if !probe_due
+        if !progress.must_call
             && let Some(after) = progress.revision
             && let Some(relay) = shared.feeds.relay(&shared, probing)
         {
-            tokio::select! {
-                followed = feeds::follow(&shared, &relay, feed, after, probing) => {
-                    if let Followed::Changes(response) = followed {
-                        apply_followed(&shared, &mut watcher, &mut progress, response, probing);
-                    }
+            if probing {
+                progress.lost_at.get_or_insert_with(Instant::now);
+            }
+            let served = tokio::select! {
+                followed = feeds::follow(&shared, &relay, feed, after, false), if !probing => {
+                    apply_followed(&shared, &mut watcher, &mut progress, followed, false)
+                }
+                followed = feeds::wait_at_relay(&shared, &relay, feed, after), if probing => {
+                    apply_followed(&shared, &mut watcher, &mut progress, followed, true)
+                }
+                () = feeds::ping_until_reachable(&shared), if probing && feed == Feed::Servers => {
+                    progress.must_call = true;
+                    true
+                }
+                () = availability.changed_to(true), if probing => true,
+                () = epoch_changed(&mut epoch, progress.revision) => {
+                    progress.revision = None;
+                    true
+                }
+            };
+            if !served && !probing && feed != Feed::Servers {
+                // The servers' watch finds out first whether the store is lost.
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_millis(REJECTED_PAUSE_MS)) => {}
+                    () = availability.changed_to(false) => {}
                 }
-                () = availability.changed_to(true), if probing => {}
             }
             continue;
         }
+        progress.must_call = false;
         let revision = progress.revision;
         progress.called_at = Instant::now();
         let outcome = tokio::select! {
@@ -269,20 +293,33 @@
 }
 
 /// Applies what a relay has replied. `probing`: whether this router had lost the store.
+/// Returns whether the relay serves this router.
 fn apply_followed(
     shared: &SharedState,
     watcher: &mut impl PrefixWatcher,
     progress: &mut Progress,
-    response: WatchResponse,
+    followed: Followed,
     probing: bool,
-) {
-    if probing {
-        shared.store_availability.record_success();
-        log::info!(feed = watcher.feed().name(), revision = response.revision.number; "store is available again, as a relay reads it");
+) -> bool {
+    let feed = watcher.feed();
+    match followed {
+        Followed::Changes(response) => {
+            if probing {
+                shared.store_availability.record_success();
+                log::info!(feed = feed.name(), revision = response.revision.number; "store is available again, as a relay reads it");
+            }
+            let revision = apply_changes(watcher, response);
+            progress.record_reply(revision);
+            watcher.on_batch_end();
+            true
+        }
+        Followed::StillOutage => true,
+        Followed::Rejected => {
+            // Another relay may have read less of the entries that matter most.
+            progress.must_call = !probing && feed == Feed::Servers;
+            false
+        }
     }
-    let revision = apply_changes(watcher, response);
-    progress.record_reply(revision);
-    watcher.on_batch_end();
 }
 
 /// Applies all items under the prefix. Returns the revision from which to go on.
--- a/crates/peridotslip/src/relay.rs
+++ b/crates/peridotslip/src/relay.rs
@@ -14,8 +14,8 @@
 //!   that connections between routers don't grow with the square of the fleet.
 //!
 //! In an outage of the store, a relay holds its followers' calls until the store
-//! has returned. A follower probes the store itself only seldom then, for the case
-//! that only the relay is cut off.
+//! has returned. A follower pings the store beside it, for the case that only the
+//! relay is cut off.
 //!
 //! A relay keeps no snapshot. A router that starts, or whose position a relay
 //! no longer covers, reads the store.
