Send no observation in circles

Relays sent each other the same observations for ever: a segment that had been answered after a crash was discarded and taken for new when it came back.

Change: what a relay has from a relay goes to followers only, in a message of its own (`PassCrashes`). Segments that have been answered since are not added.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -84,6 +84,9 @@
     ShareLimits(Vec<LimitNews>),
     /// Asks for all limits of servers that the router knows.
     FetchLimits,
+    /// Delivers observations of servers that a relay passes on. Sent to routers that
+    /// know protocol 5.
+    PassCrashes(Vec<CrashObservation>),
     /// Asks a relay for the store's changes. Sent to routers that know protocol 5.
     Follow(FollowRequest),
 }
@@ -122,6 +125,7 @@
             | Self::FetchCrashes
             | Self::ShareLimits(_)
             | Self::FetchLimits
+            | Self::PassCrashes(_)
             | Self::Follow(_)
             | Self::Probe => true,
             // Each reply issues a transfer or a permit of its own.
--- a/crates/peridotslip-edge/src/crash_watch.rs
+++ b/crates/peridotslip-edge/src/crash_watch.rs
@@ -13,8 +13,8 @@
 use futures::future::join_all;
 use peridotslip::{
     forwarding::{
-        BlockChange, CrashEvidence, CrashObservation, PromptProfile, PromptSegment, PromptVerdict,
-        ServerStart,
+        BlockChange, CrashEvidence, CrashObservation, ObservationOrigin, PromptProfile,
+        PromptSegment, PromptVerdict, ServerStart,
     },
     ids::Incarnation,
 };
@@ -73,11 +73,10 @@
         self.lock().record_answer(segments, self.clock.now_ms());
     }
 
-    /// Adds the observations of a peer. A relay passes them on.
-    pub(crate) fn merge(&self, observations: &[CrashObservation]) {
-        let pass_on = self.passes_on();
-        self.lock()
-            .merge(observations, pass_on, self.clock.now_ms());
+    /// Adds the observations of a peer. A relay passes them on as ones of `origin`.
+    pub(crate) fn merge(&self, observations: &[CrashObservation], origin: ObservationOrigin) {
+        let origin = self.passes_on().then_some(origin);
+        self.lock().merge(observations, origin, self.clock.now_ms());
     }
 
     /// Returns whether this router passes on what its peers have observed.
@@ -160,15 +159,30 @@
         let next_seq = crashes.lock().next_seq();
         unconfirmed.retain(|incarnation, _| {
             let mut routers = targets.routers.iter();
-            routers.any(|peer| peer.incarnation == *incarnation)
+            routers.any(|target| target.router.incarnation == *incarnation)
         });
-        let calls = targets.routers.iter().filter_map(|peer| {
+        let passes_on = targets.is_relay;
+        let calls = targets.routers.iter().filter_map(|target| {
+            let peer = &target.router;
             let from = unconfirmed.get(&peer.incarnation).copied().unwrap_or(0);
             let due = from < next_seq && peers.is_reachable(peer);
             due.then_some(async move {
                 let now_ms = crashes.clock.now_ms();
-                let (next, observations) = crashes.lock().outgoing_since(from, now_ms);
-                let request = PeerRequest::ShareCrashes(observations);
+                // A relay has from its followers what this one has from a relay.
+                let origins = if target.is_relay {
+                    ..=ObservationOrigin::Observer
+                } else {
+                    ..=ObservationOrigin::Relay
+                };
+                let (next, observations) = crashes.lock().outgoing_since(from, origins, now_ms);
+                if observations.is_empty() {
+                    return Some((peer.incarnation, next));
+                }
+                let request = if passes_on && peer.relays() {
+                    PeerRequest::PassCrashes(observations)
+                } else {
+                    PeerRequest::ShareCrashes(observations)
+                };
                 let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
                 let reply = peers.call::<_, bool>(peer, &request, timeout).await;
                 (reply == Ok(true)).then_some((peer.incarnation, next))
--- a/crates/peridotslip-edge/src/peer_state.rs
+++ b/crates/peridotslip-edge/src/peer_state.rs
@@ -7,7 +7,7 @@
 };
 
 use futures::future::{join, join_all};
-use peridotslip::forwarding::{CrashObservation, LimitNews};
+use peridotslip::forwarding::{CrashObservation, LimitNews, ObservationOrigin};
 
 use crate::{
     budgets::PeerRequest, context::SharedState, peers::RouterInstance, rpc, server_limits,
@@ -67,7 +67,9 @@
     let mut any_replied = false;
     for (crashes, limits) in replies {
         any_replied |= crashes.is_ok();
-        shared.crashes.merge(&crashes.unwrap_or_default());
+        shared
+            .crashes
+            .merge(&crashes.unwrap_or_default(), ObservationOrigin::Relay);
         server_limits::merge(shared, &limits.unwrap_or_default());
     }
     any_replied || asked.is_empty()
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns whether the router knows the messages about the store's changes.
-    fn relays(&self) -> bool {
+    pub(crate) fn relays(&self) -> bool {
         self.protocol >= RELAY_PROTOCOL
     }
 }
@@ -105,12 +105,19 @@
     leaving: bool,
 }
 
+/// A router to which this one sends observations of servers.
+#[derive(Clone, Debug)]
+pub(crate) struct NewsTarget {
+    pub(crate) router: RouterInstance,
+    pub(crate) is_relay: bool,
+}
+
 /// The routers to which this one sends observations of servers.
 #[derive(Clone, Debug)]
 pub(crate) struct NewsTargets {
     /// Whether this router also passes on what others send it.
     pub(crate) is_relay: bool,
-    pub(crate) routers: Vec<RouterInstance>,
+    pub(crate) routers: Vec<NewsTarget>,
 }
 
 impl NewsTargets {
@@ -283,11 +290,18 @@
             .collect();
         members.push(member(&self.local, &self.local_vm));
         let route = news_route(&self.local.vm, &members);
-        let others = peers.values().map(|peer| &peer.instance);
-        let targets = others.filter(|other| route.targets.contains(&other.incarnation));
+        let targets = peers.values().filter_map(|peer| {
+            let incarnation = &peer.instance.incarnation;
+            let is_relay = route.relays.contains(incarnation);
+            let is_target = is_relay || route.followers.contains(incarnation);
+            is_target.then(|| NewsTarget {
+                router: peer.instance.clone(),
+                is_relay,
+            })
+        });
         let news_targets = NewsTargets {
             is_relay: route.is_relay,
-            routers: targets.cloned().collect(),
+            routers: targets.collect(),
         };
         drop(peers);
         let data_centre = self.local_vm.data_centre.as_str();
@@ -419,8 +433,9 @@
     /// Announces that a router is leaving, this one or one that has told this relay.
     /// Followers tell their relays only, which pass it on.
     pub(crate) async fn announce_leaving(self: &Arc<Self>, incarnation: Incarnation) {
-        let targets = self.news_targets();
-        let mut told = self.call_leaving(targets.routers, incarnation).await;
+        let targets = self.news_targets().routers.into_iter();
+        let targets = targets.map(|target| target.router).collect();
+        let mut told = self.call_leaving(targets, incarnation).await;
         if !told {
             told = self.call_leaving(self.others(), incarnation).await;
         }
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use peridotslip::{
-    forwarding::{CrashObservation, LimitNews, OriginReply, PermitReply},
+    forwarding::{CrashObservation, LimitNews, ObservationOrigin, OriginReply, PermitReply},
     ids::Incarnation,
     ledger::GrantTransfer,
 };
@@ -261,11 +261,7 @@
             budget,
         } => PeerResponse::Ceiling(shared.budgets.seal_ceiling(witness, holder, &budget)),
         PeerRequest::Leaving { incarnation } => {
-            let is_new = shared.peers.set_leaving(incarnation);
-            if is_new && shared.crashes.passes_on() {
-                let peers = shared.peers.clone();
-                tokio::spawn(async move { peers.announce_leaving(incarnation).await });
-            }
+            record_leaving(&shared, incarnation);
             PeerResponse::Done(true)
         }
         PeerRequest::RecordOrigin {
@@ -281,7 +277,13 @@
             PeerResponse::Holding(Box::new(reply))
         }
         PeerRequest::ShareCrashes(observations) => {
-            shared.crashes.merge(&observations);
+            let crashes = &shared.crashes;
+            crashes.merge(&observations, ObservationOrigin::Observer);
+            PeerResponse::Done(true)
+        }
+        PeerRequest::PassCrashes(observations) => {
+            let crashes = &shared.crashes;
+            crashes.merge(&observations, ObservationOrigin::Relay);
             PeerResponse::Done(true)
         }
         PeerRequest::FetchCrashes => PeerResponse::Crashes(shared.crashes.snapshot()),
@@ -298,6 +300,15 @@
     }
 }
 
+/// Records that a router is leaving. A relay passes it on.
+fn record_leaving(shared: &SharedState, incarnation: Incarnation) {
+    let is_new = shared.peers.set_leaving(incarnation);
+    if is_new && shared.crashes.passes_on() {
+        let peers = shared.peers.clone();
+        tokio::spawn(async move { peers.announce_leaving(incarnation).await });
+    }
+}
+
 /// Applies the settings file when it changes and on SIGHUP. If the file is
 /// invalid, the previous settings stay active.
 async fn watch_settings(file: PathBuf, shared: Arc<SharedState>, mut hangup: Signal) {
--- a/crates/peridotslip-edge/src/server_limits.rs
+++ b/crates/peridotslip-edge/src/server_limits.rs
@@ -170,10 +170,8 @@
         }
         let request = PeerRequest::ShareLimits(news);
         let timeout = Duration::from_millis(PEER_TIMEOUT_MS);
-        let informed = targets
-            .routers
-            .iter()
-            .filter(|peer| peers.is_reachable(peer));
+        let routers = targets.routers.iter().map(|target| &target.router);
+        let informed = routers.filter(|peer| peers.is_reachable(peer));
         join_all(informed.map(|peer| peers.call::<_, bool>(peer, &request, timeout))).await;
     }
 }
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -23,7 +23,9 @@
 
 pub use self::{
     connection_share::connection_share,
-    crash_evidence::{BlockChange, CrashEvent, CrashEvidence, CrashObservation, PromptVerdict},
+    crash_evidence::{
+        BlockChange, CrashEvent, CrashEvidence, CrashObservation, ObservationOrigin, PromptVerdict,
+    },
     index::{RouteMatch, RoutingIndex},
     origin::{
         MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict, ServerVersion,
--- a/crates/peridotslip/src/forwarding/crash_evidence.rs
+++ b/crates/peridotslip/src/forwarding/crash_evidence.rs
@@ -13,6 +13,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    ops::RangeToInclusive,
 };
 
 use serde::{Deserialize, Serialize};
@@ -160,9 +161,21 @@
     shared_answer_ms: Option<u64>,
 }
 
+/// From whom a router has an observation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ObservationOrigin {
+    /// The router has observed it.
+    Local,
+    /// Another router that has observed it.
+    Observer,
+    /// A relay.
+    Relay,
+}
+
 #[derive(Clone, Debug)]
 struct OutgoingObservation {
     seq: u64,
+    origin: ObservationOrigin,
     at_ms: u64,
     event: CrashEvent,
 }
@@ -197,7 +210,7 @@
                 start: start.clone(),
                 segments: added,
             };
-            self.log(event, now_ms);
+            self.log(event, ObservationOrigin::Local, now_ms);
         }
     }
 
@@ -207,7 +220,11 @@
         for segment in segments {
             self.add_answer(segment.id, now_ms);
             if self.mark_shared(segment.id, now_ms) {
-                self.log(CrashEvent::Answered(segment.id), now_ms);
+                self.log(
+                    CrashEvent::Answered(segment.id),
+                    ObservationOrigin::Local,
+                    now_ms,
+                );
             }
         }
     }
@@ -227,9 +244,14 @@
         is_unshared
     }
 
-    /// Adds the observations of a peer. `pass_on`: whether this router sends its
-    /// peers those that are new to it.
-    pub fn merge(&mut self, observations: &[CrashObservation], pass_on: bool, now_ms: u64) {
+    /// Adds the observations of a peer. Those that are new to this router are sent its
+    /// peers as ones of `origin`, or not if it is `None`.
+    pub fn merge(
+        &mut self,
+        observations: &[CrashObservation],
+        origin: Option<ObservationOrigin>,
+        now_ms: u64,
+    ) {
         let now_ms = shifted(now_ms);
         for CrashObservation { age_ms, event } in observations {
             let at_ms = now_ms.saturating_sub(*age_ms);
@@ -245,18 +267,24 @@
                     is_unshared.then_some(CrashEvent::Answered(*segment))
                 }
             };
-            if let Some(event) = new.filter(|_| pass_on) {
-                self.log(event, at_ms);
+            if let (Some(event), Some(origin)) = (new, origin) {
+                self.log(event, origin, at_ms);
             }
         }
     }
 
-    /// Returns the observations that this router sends its peers from the number
-    /// `seq` on, and the number of the next one.
+    /// Returns the observations from `origins` that this router sends its peers from the
+    /// number `seq` on, and the number of the next one.
     #[must_use]
-    pub fn outgoing_since(&self, seq: u64, now_ms: u64) -> (u64, Vec<CrashObservation>) {
+    pub fn outgoing_since(
+        &self,
+        seq: u64,
+        origins: RangeToInclusive<ObservationOrigin>,
+        now_ms: u64,
+    ) -> (u64, Vec<CrashObservation>) {
         let now_ms = shifted(now_ms);
-        let entries = self.outgoing.iter().filter(|entry| entry.seq >= seq);
+        let entries = self.outgoing.iter();
+        let entries = entries.filter(|entry| entry.seq >= seq && origins.contains(&entry.origin));
         let observations = entries.map(|entry| CrashObservation {
             age_ms: now_ms.saturating_sub(entry.at_ms),
             event: entry.event.clone(),
@@ -433,8 +461,13 @@
         crash.at_ms = crash.at_ms.min(at_ms);
         let crash_ms = crash.at_ms;
         let mut added = Vec::new();
+        let answered_ms = &self.answered_ms;
         for segment in segments {
-            if crash.segments.len() < MAX_ACCUSED && !crash.segments.contains_key(&segment.id) {
+            let is_acquitted = answered_ms.get(&segment.id) > Some(&crash_ms);
+            if !is_acquitted
+                && crash.segments.len() < MAX_ACCUSED
+                && !crash.segments.contains_key(&segment.id)
+            {
                 crash.segments.insert(segment.id, segment.position);
                 added.push(*segment);
             }
@@ -461,7 +494,11 @@
         if answered_ms > accused.shared_answer_ms {
             accused.shared_answer_ms = answered_ms;
             if let Some(answered_ms) = answered_ms {
-                self.log(CrashEvent::Answered(segment), answered_ms);
+                self.log(
+                    CrashEvent::Answered(segment),
+                    ObservationOrigin::Local,
+                    answered_ms,
+                );
             }
         }
     }
@@ -478,12 +515,13 @@
         }
     }
 
-    fn log(&mut self, event: CrashEvent, at_ms: u64) {
+    fn log(&mut self, event: CrashEvent, origin: ObservationOrigin, at_ms: u64) {
         if self.outgoing.len() >= MAX_OUTGOING {
             self.outgoing.pop_front();
         }
         self.outgoing.push_back(OutgoingObservation {
             seq: self.next_seq,
+            origin,
             at_ms,
             event,
         });
--- a/crates/peridotslip/src/relay/selector.rs
+++ b/crates/peridotslip/src/relay/selector.rs
@@ -53,13 +53,16 @@
 pub struct NewsRoute {
     /// Whether the router also passes on what others send it.
     pub is_relay: bool,
-    /// The routers to which it sends.
-    pub targets: Vec<Incarnation>,
+    /// The relays to which it sends.
+    pub relays: Vec<Incarnation>,
+    /// The other routers to which it sends.
+    pub followers: Vec<Incarnation>,
 }
 
 /// Returns to whom the router on `vm`, which is one of `members`, sends news. It
 /// reaches all members in three steps: relays send to the relays of all data centres
-/// and to the routers of their own, the others to the relays of their own.
+/// and to the routers of their own, the others to the relays of their own. What a relay
+/// has from another relay it sends to followers only, so that nothing goes in circles.
 #[must_use]
 pub fn news_route(vm: &str, members: &[NewsMember]) -> NewsRoute {
     let mut centres: BTreeMap<&str, Vec<RelayCandidate>> = BTreeMap::new();
@@ -71,27 +74,25 @@
         rank(data_centre, centre);
         centre.truncate(RELAYS_PER_DATA_CENTRE);
     }
-    let relays_of = |data_centre: &str| centres.get(data_centre).map_or(&[][..], Vec::as_slice);
-    let is_in = |relays: &[RelayCandidate], vm: &str| relays.iter().any(|relay| relay.vm == vm);
+    let is_relay = |member: &NewsMember| {
+        let relays = centres.get(member.data_centre.as_str());
+        relays.is_some_and(|relays| relays.iter().any(|relay| relay.vm == member.router.vm))
+    };
     let local = members.iter().find(|member| member.router.vm == vm);
-    let data_centre = local.map_or("", |local| local.data_centre.as_str());
-    let is_relay = is_in(relays_of(data_centre), vm);
-    let is_target = |member: &&NewsMember| {
-        let its_relays = relays_of(&member.data_centre);
-        let is_local = member.data_centre == data_centre;
-        let other_is_relay = is_in(its_relays, &member.router.vm);
-        member.router.vm != vm
-            && if is_relay {
-                other_is_relay || is_local || !member.may_relay
-            } else {
-                other_is_relay && is_local
-            }
+    let mut route = NewsRoute {
+        is_relay: local.is_some_and(is_relay),
+        relays: Vec::new(),
+        followers: Vec::new(),
     };
-    let targets = members.iter().filter(is_target);
-    NewsRoute {
-        is_relay,
-        targets: targets.map(|member| member.router.incarnation).collect(),
+    for member in members.iter().filter(|member| member.router.vm != vm) {
+        let is_local = local.is_some_and(|local| local.data_centre == member.data_centre);
+        if is_relay(member) && (route.is_relay || is_local) {
+            route.relays.push(member.router.incarnation);
+        } else if route.is_relay && (is_local || !member.may_relay) {
+            route.followers.push(member.router.incarnation);
+        }
     }
+    route
 }
 
 /// Orders the routers of a data centre: larger VMs first, then by rendezvous
--- a/crates/peridotslip/tests/crash_evidence.rs
+++ b/crates/peridotslip/tests/crash_evidence.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 use peridotslip::forwarding::{
-    BlockChange, CrashEvidence, PromptProfile, PromptSegment, PromptVerdict, ServerStart,
+    BlockChange, CrashEvidence, ObservationOrigin, PromptProfile, PromptSegment, PromptVerdict,
+    ServerStart,
 };
 use proptest::prelude::*;
 
@@ -241,7 +242,11 @@
     }
     let shared: Vec<_> = routers
         .iter()
-        .map(|router| router.outgoing_since(0, 2_000).1)
+        .map(|router| {
+            router
+                .outgoing_since(0, ..=ObservationOrigin::Relay, 2_000)
+                .1
+        })
         .collect();
     for (number, router) in routers.iter_mut().enumerate() {
         let others = shared
@@ -250,13 +255,13 @@
             .filter(|(other, _)| *other != number);
         for (_, observations) in others {
             // A repeated message has no further effect.
-            router.merge(observations, false, 2_000);
-            router.merge(observations, false, 2_000);
+            router.merge(observations, None, 2_000);
+            router.merge(observations, None, 2_000);
         }
     }
     let mut late = CrashEvidence::default();
     // Its clock has just begun.
-    late.merge(&routers[0].snapshot(2_000), false, 5);
+    late.merge(&routers[0].snapshot(2_000), None, 5);
 
     for router in &mut routers {
         assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
@@ -268,10 +273,22 @@
 fn an_answer_that_another_router_saw_acquits() {
     let mut evidence = crashed(&[FIRST], CRASHES_TO_BLOCK);
     let mut other = CrashEvidence::default();
-    other.merge(&evidence.outgoing_since(0, 1_400).1, false, 1_400);
+    other.merge(
+        &evidence
+            .outgoing_since(0, ..=ObservationOrigin::Relay, 1_400)
+            .1,
+        None,
+        1_400,
+    );
     other.record_answer(&segments(&[FIRST]), 1_450);
 
-    evidence.merge(&other.outgoing_since(0, 1_500).1, false, 1_500);
+    evidence.merge(
+        &other
+            .outgoing_since(0, ..=ObservationOrigin::Relay, 1_500)
+            .1,
+        None,
+        1_500,
+    );
 
     assert_eq!(
         verdict(&mut evidence, &[FIRST], 2_000),
@@ -287,10 +304,22 @@
     // The sound segment is the later one, which is blocked if nothing else decides.
     answering.record_answer(&segments(&[0, FIRST])[1..], 500);
     let mut evidence = crashed(&[BAD, FIRST], CRASHES_TO_BLOCK);
-    answering.merge(&evidence.outgoing_since(0, 1_400).1, false, 1_400);
-    evidence.merge(&answering.outgoing_since(0, 1_500).1, false, 1_500);
+    answering.merge(
+        &evidence
+            .outgoing_since(0, ..=ObservationOrigin::Relay, 1_400)
+            .1,
+        None,
+        1_400,
+    );
+    evidence.merge(
+        &answering
+            .outgoing_since(0, ..=ObservationOrigin::Relay, 1_500)
+            .1,
+        None,
+        1_500,
+    );
     let mut late = CrashEvidence::default();
-    late.merge(&evidence.snapshot(1_600), false, 1_600);
+    late.merge(&evidence.snapshot(1_600), None, 1_600);
 
     for router in [&mut answering, &mut evidence, &mut late] {
         assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
@@ -463,9 +492,13 @@
             if now_ms % SHARE_MS == 0 {
                 for from in 0..routers {
                     for to in (0..routers).filter(|to| *to != from) {
-                        let (seq, observations) = fleet[from].outgoing_since(confirmed[from][to], now_ms);
+                        let (seq, observations) = fleet[from].outgoing_since(
+                            confirmed[from][to],
+                            ..=ObservationOrigin::Relay,
+                            now_ms,
+                        );
                         confirmed[from][to] = seq;
-                        fleet[to].merge(&observations, false, now_ms);
+                        fleet[to].merge(&observations, None, now_ms);
                     }
                 }
             }
@@ -489,3 +522,33 @@
         prop_assert!(others.is_empty(), "also blocked: {others:x?}");
     }
 }
+
+/// Guards against relays that send each other the same observations for ever: each
+/// dropped segments that had been answered, and took them for new when they came back.
+#[test]
+fn observations_go_in_no_circles() {
+    let mut relays = vec![CrashEvidence::default(); 3];
+    for crash in 0..200 {
+        relays[0].record_end(&start(crash), &segments(&[FIRST, BAD]), 1_000);
+    }
+    relays[1].record_answer(&segments(&[FIRST]), 1_100);
+    let mut sent = 0;
+    let mut next = vec![vec![0; 3]; 3];
+
+    for round in 0..50 {
+        let now_ms = 1_200 + round * 100;
+        for from in 0..3 {
+            relays[from].assess(now_ms);
+            for to in (0..3).filter(|to| *to != from) {
+                let origins = ..=ObservationOrigin::Observer;
+                let (seq, observations) =
+                    relays[from].outgoing_since(next[from][to], origins, now_ms);
+                next[from][to] = seq;
+                sent += observations.len();
+                relays[to].merge(&observations, Some(ObservationOrigin::Relay), now_ms);
+            }
+        }
+    }
+
+    assert!(sent <= 3 * 202, "{sent} observations were sent");
+}
--- a/crates/peridotslip/tests/relay.rs
+++ b/crates/peridotslip/tests/relay.rs
@@ -331,19 +331,23 @@
         .map(|(index, member)| (member.router.incarnation, index))
         .collect();
     let mut knowing = HashSet::from([origin]);
-    let mut senders = vec![origin];
+    // Routers that send, and whether they have the news from a relay.
+    let mut senders = vec![(origin, false)];
     let (mut steps, mut messages) = (0, 0);
     while knowing.len() < members.len() - dead.len() {
         let mut informed = Vec::new();
-        for sender in senders {
+        for (sender, from_relay) in senders {
             let route = &routes[sender];
             if sender != origin && !route.is_relay {
                 continue;
             }
-            messages += route.targets.len();
-            informed.extend(route.targets.iter().map(|target| index_of[target]));
+            let relays = route.relays.iter().filter(|_| !from_relay);
+            for target in relays.chain(&route.followers) {
+                messages += 1;
+                informed.push((index_of[target], route.is_relay));
+            }
         }
-        informed.retain(|index| !dead.contains(index) && knowing.insert(*index));
+        informed.retain(|(index, _)| !dead.contains(index) && knowing.insert(*index));
         if informed.is_empty() {
             return None;
         }
@@ -364,8 +368,9 @@
         let mut targets = 0;
         for route in &routes {
             let most = if route.is_relay { size / 5 + 16 } else { 3 };
-            assert!(route.targets.len() <= most, "{count}: {route:?}");
-            targets += route.targets.len();
+            let connections = route.relays.len() + route.followers.len();
+            assert!(connections <= most, "{count}: {route:?}");
+            targets += connections;
         }
         assert!(targets <= 6 * size + 15 * 14, "{count}: {targets}");
         for origin in 0..size {
@@ -404,6 +409,7 @@
         .iter()
         .map(|member| member.router.incarnation)
         .collect();
-    assert!(old.iter().all(|old| relay.targets.contains(old)));
-    assert!(!old.iter().any(|old| follower.targets.contains(old)));
+    assert!(old.iter().all(|old| relay.followers.contains(old)));
+    assert!(follower.followers.is_empty());
+    assert!(!old.iter().any(|old| follower.relays.contains(old)));
 }
