Probe unreachable routers in batches

Cause: unreachable routers were probed one after the other, up to 0.25 s each: with 100 of them dark a round took 25 s, in which a healed split stayed split and routers chose different owners. Ruled out: probing all at once (330 connections each half second).

Change: `ProbeRotation`: 32 at a time in turn, the next batch at once while there are more.

Result: tests/probe_rotation.rs, 1 to 330 routers: each is probed within 4 s.

--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -17,7 +17,7 @@
 use futures::future::join_all;
 use peridotslip::{
     ids::Incarnation,
-    members::rendezvous_weight,
+    members::{PROBE_BATCH, ProbeRotation, rendezvous_weight},
     relay::{NewsMember, RelayCandidate, VmSize, news_route, rank},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -38,6 +38,8 @@
 const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
 const PROBE_PAUSE_MS: u64 = 500;
+/// The same while not all unreachable routers are in one round.
+const BATCH_PAUSE_MS: u64 = 100;
 /// Longest wait for the response to a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
 
@@ -546,19 +548,35 @@
         unreachable.map(|peer| peer.instance.clone()).collect()
     }
 
-    /// Sends `probe` to the unreachable routers at intervals until the process
-    /// ends.
+    /// Sends `probe` to the unreachable routers at intervals until the process ends.
+    /// While there are more than one batch, the batches follow each other at once.
     pub(crate) async fn probe_unreachable<Q: RpcRequest>(self: Arc<Self>, probe: Q) {
+        let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+        let mut rotation = ProbeRotation::default();
         loop {
-            tokio::time::sleep(Duration::from_millis(PROBE_PAUSE_MS)).await;
-            for instance in self.unreachable() {
-                let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+            let unreachable = self.unreachable();
+            let incarnations: Vec<Incarnation> = unreachable
+                .iter()
+                .map(|instance| instance.incarnation)
+                .collect();
+            let batch = rotation.next_batch(&incarnations);
+            let probed = unreachable
+                .iter()
+                .filter(|instance| batch.contains(&instance.incarnation));
+            let calls = probed.map(|instance| async {
                 let response: rpc::Result<bool> =
                     self.client.call(&instance.address, &probe, timeout).await;
                 if response == Ok(true) {
-                    self.set_reachable(&instance, true, "");
+                    self.set_reachable(instance, true, "");
                 }
-            }
+            });
+            join_all(calls).await;
+            let pause_ms = if unreachable.len() > PROBE_BATCH {
+                BATCH_PAUSE_MS
+            } else {
+                PROBE_PAUSE_MS
+            };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 }
--- a/crates/peridotslip/src/members.rs
+++ b/crates/peridotslip/src/members.rs
@@ -13,12 +13,14 @@
 //! requests go to the wrong router, which costs time but no money.
 
 mod gossip;
+mod probe_rotation;
 mod rendezvous;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 pub use self::{
     gossip::{MemberState, MemberUpdate, Node},
+    probe_rotation::{PROBE_BATCH, ProbeRotation},
     rendezvous::{rendezvous_owner, rendezvous_weight},
 };
 use crate::ids::{Incarnation, Revision};
