--- a/crates/peridotslip/src/memory.rs
+++ b/crates/peridotslip/src/memory.rs
@@ -153,33 +153,25 @@
         if needed > self.limit {
             return Err(AppendError::TooLong(self.limit));
         }
-        let last_free = self
-            .parts
-            .last()
-            .map_or(0, |part| part.capacity() - part.len());
-        let (to_last, to_next) = bytes.split_at(bytes.len().min(last_free));
-        if to_next.is_empty() {
-            self.fill_last(to_last);
-        } else {
-            let size = self.len.min(MAX_PART_BYTES).min(self.limit - self.len);
-            let size = size.max(to_next.len());
-            self.share
-                .resize(self.share.held() + size)
-                .map_err(|_| AppendError::OutOfMemory(needed))?;
-            self.fill_last(to_last);
-            self.parts.push(Vec::with_capacity(size));
-            self.fill_last(to_next);
+        if let Some(last) = self.parts.last_mut()
+            && last.capacity() - last.len() >= bytes.len()
+        {
+            last.extend_from_slice(bytes);
+            self.len = needed;
+            return Ok(());
         }
+        let size = self.len.min(MAX_PART_BYTES).min(self.limit - self.len);
+        let size = size.max(bytes.len());
+        self.share
+            .resize(self.share.held() + size)
+            .map_err(|_| AppendError::OutOfMemory(needed))?;
+        let mut part = Vec::with_capacity(size);
+        part.extend_from_slice(bytes);
+        self.parts.push(part);
         self.len = needed;
         Ok(())
     }
 
-    fn fill_last(&mut self, bytes: &[u8]) {
-        if let Some(last) = self.parts.last_mut() {
-            last.extend_from_slice(bytes);
-        }
-    }
-
     /// Returns the number of bytes.
     #[must_use]
     pub fn len(&self) -> usize {
