Call the store once it replies again, though relays are cut off

Its relays were turned away by the store and it was not. Its servers' watch lost the store for 0.15 s and had it again; the table's watch had begun to wait at a relay, still counted as having lost the store, and went on waiting until the relay had it. Ruled out: the relay (it refused rightly), the store's compaction (the table was read after it).

The servers' watch makes its check a short one.

--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -100,12 +100,12 @@
 }
 
 /// Lists a prefix, or watches it for changes after `revision`. Waits only
-/// briefly for changes if `probing`, to find out whether the store is available.
+/// briefly for changes if `is_short`, to find out whether the store is available.
 async fn read_store(
     shared: &SharedState,
     watcher: &impl PrefixWatcher,
     revision: Option<Revision>,
-    probing: bool,
+    is_short: bool,
 ) -> StoreResult<StoreReply> {
     let store = &shared.platform.store;
     let Some(revision) = revision else {
@@ -113,7 +113,7 @@
         return store.list(watcher.prefix()).await.map(StoreReply::Listing);
     };
     shared.metrics.store_call("watch");
-    let wait = if probing {
+    let wait = if is_short {
         watcher.probe_timeout()
     } else {
         watcher.watch_timeout()
@@ -171,45 +171,51 @@
     let mut epoch = shared.platform.store.epoch();
     let feed = watcher.feed();
     loop {
-        let probing = progress.lost_at.is_some() || !availability.is_available();
-        if !progress.must_call
+        let in_outage = !availability.is_available();
+        let probing = progress.lost_at.is_some() || in_outage;
+        // Once the store replies to this router again, each watch that has lost it calls
+        // it: relays may still be cut off.
+        let must_call = progress.must_call || (progress.lost_at.is_some() && !in_outage);
+        if !must_call
             && let Some(after) = progress.revision
-            && let Some(relay) = shared.feeds.relay(&shared, probing)
+            && let Some(relay) = shared.feeds.relay(&shared, in_outage)
         {
-            if probing {
+            if in_outage && feed == Feed::Servers {
                 progress.lost_at.get_or_insert_with(Instant::now);
             }
             let served = tokio::select! {
-                followed = feeds::follow(&shared, &relay, feed, after, false), if !probing => {
+                followed = feeds::follow(&shared, &relay, feed, after, false), if !in_outage => {
                     apply_followed(&shared, &mut watcher, &mut progress, followed, false)
                 }
-                followed = feeds::wait_at_relay(&shared, &relay, feed, after), if probing => {
+                followed = feeds::wait_at_relay(&shared, &relay, feed, after), if in_outage => {
                     apply_followed(&shared, &mut watcher, &mut progress, followed, true)
                 }
-                () = feeds::ping_until_reachable(&shared), if probing && feed == Feed::Servers => {
+                () = feeds::ping_until_reachable(&shared), if in_outage && feed == Feed::Servers => {
                     progress.must_call = true;
                     true
                 }
-                () = availability.changed_to(true), if probing => true,
+                () = availability.changed_to(true), if in_outage => true,
                 () = epoch_changed(&mut epoch, progress.revision) => {
                     progress.revision = None;
                     true
                 }
             };
-            if !served && !probing && feed != Feed::Servers {
+            if !served && !in_outage && feed != Feed::Servers {
                 // The servers' watch finds out first whether the store is lost.
                 tokio::select! {
-                    () = tokio::time::sleep(Duration::from_millis(REJECTED_PAUSE_MS)) => {}
+                    () = tokio::time::sleep(Duration::from_millis(REJECTED_PAUSE_MS)) => {
+                        progress.must_call = true;
+                    }
                     () = availability.changed_to(false) => {}
                 }
             }
             continue;
         }
-        progress.must_call = false;
+        let is_check = std::mem::take(&mut progress.must_call) && feed == Feed::Servers;
         let revision = progress.revision;
         progress.called_at = Instant::now();
         let outcome = tokio::select! {
-            outcome = read_store(&shared, &watcher, revision, probing) => outcome,
+            outcome = read_store(&shared, &watcher, revision, probing || is_check) => outcome,
             // Another watch has lost the store: this call may never get a
             // response, so a short one replaces it.
             () = availability.changed_to(false), if !probing => continue,
