--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 import ast
 import sys
 
-assert sys.version_info >= (3, 11), "Python 3.11 or later is needed"
+assert sys.version_info >= (3, 8), "Python 3.8 or later is needed"
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as file:
         ast.parse(file.read(), path)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -7,7 +7,6 @@
 import socket
 import subprocess
 import time
-import tomllib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -100,8 +99,8 @@
         }
 
     def start(self):
-        with open(f"{ROOT}/deploy/system.toml", "rb") as file:
-            role = tomllib.load(file)["roles"]["router"]
+        with open(f"{ROOT}/deploy/system.toml", encoding="utf-8") as file:
+            role = dict(re.findall(r'^(\w+) = "(.*)"$', file.read(), flags=re.M))
         with open(f"{ROOT}/{role['template']}", encoding="utf-8") as file:
             settings = render(file.read(), self.fields)
         path = f"{self.folder}/{self.name}.yaml"
