Keep histories of versions short enough for the store

Cause: the store held every set of services in full, about 13 kB each, and none was ever removed. At 1,048,576 bytes the store refuses the value, and a stream begins only if the current set is in it. The loop that registers versions wrote the same value every 0.8 s and tried no other history meanwhile. The log named it "the store's reply was lost (413 Payload Too Large)". Ruled out: a lost reply or a conflict (the store counts the writes as refused), a table that isn't active (503 and not 404, and the routers log that it was activated).

What later ones said follows from these two: every stream of a service or host that has had several is recorded. A router that reads a longer or unreadable history replaces it, also one that the last release has filled; routers of that release go on at their next retry. Writes that the store refuses for their content have an error of their own, are logged once with their size, and delay no other history. Records of origins that the store refuses are dropped.

--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -262,7 +262,7 @@
 /// began it, or for a new stream all registered ones.
 async fn permit_versions(cx: &mut RequestContext, retry: &mut RetryState) -> Result<(), Rejection> {
     if cx.metadata.last_event_id.is_none() {
-        retry.versions = Some(stream_origins::permitted_versions(cx));
+        retry.versions = stream_origins::permitted_versions(cx);
         return Ok(());
     }
     let Some(origin) = stream_origins::find_origin(cx).await else {
--- a/crates/peridotslip-edge/src/origin_store.rs
+++ b/crates/peridotslip-edge/src/origin_store.rs
@@ -27,7 +27,7 @@
     clock::Clock,
     context::{RequestContext, SharedState},
     peers::RouterInstance,
-    ports::StoreResult,
+    ports::{StoreError, StoreResult},
 };
 
 /// Prefix of the keys. The writer's VM and the place in its ring follow.
@@ -90,8 +90,13 @@
     let placement = shared.placement();
     sightings.observe(service, placement.versions(service), now_ms);
     drop(placement);
-    let history = shared.origins.versions(service);
-    sightings.several_serve(service, &history, now_ms)
+    // Streams may begin at any version of a service that has had several.
+    let permitted = if shared.origins.has_several_versions(service) {
+        sightings.versions(service)
+    } else {
+        shared.origins.versions(service)
+    };
+    sightings.several_serve(service, &permitted, now_ms)
 }
 
 /// Adds the origin of a stream that this router has begun and forwards, if it is to be
@@ -244,6 +249,11 @@
     shared.metrics.store_call("origins");
     if let Err(err) = shared.platform.store.put(&key, &value).await {
         shared.metrics.store_failed();
+        if matches!(err, StoreError::Rejected(_)) {
+            log::error!(records = batch.len(), bytes = value.len(), reason = err.to_string().as_str(); "can't write where streams began; dropping the records");
+            shared.metrics.record_origins("dropped", batch.len());
+            return;
+        }
         log::warn!(records = batch.len(), reason = err.to_string().as_str(); "can't write where streams began; trying again");
         let dropped = lock(&store.accepted).put_back(batch);
         shared.metrics.record_origins("dropped", dropped);
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -27,6 +27,11 @@
         Indeterminate(reason: String) {
             display("the store's reply was lost ({reason}); read the key to see whether the write took effect")
         }
+        /// The store refuses the write, such as one of a value that is too long, and will
+        /// refuse it again; nothing was written.
+        Rejected(reason: String) {
+            display("the store rejects the write ({reason}); check the sizes of the key and the value")
+        }
         /// The store no longer has the changes after the requested revision.
         Compacted {
             display("the store has compacted the requested history; list the keys again")
--- a/crates/peridotslip-edge/src/stream_origins.rs
+++ b/crates/peridotslip-edge/src/stream_origins.rs
@@ -91,11 +91,16 @@
         self.servers_changed.notify_one();
     }
 
-    /// Returns the versions whose servers may begin streams of a service.
+    /// Returns the known versions of a service: the first two at most.
     pub(crate) fn versions(&self, service: &str) -> Vec<ServerVersion> {
         self.lock().versions(service).to_vec()
     }
 
+    /// Returns whether servers of a version may begin streams of a service.
+    pub(crate) fn permits(&self, service: &str, version: &str) -> bool {
+        self.lock().permits(service, version)
+    }
+
     /// Waits until servers or routes have changed.
     pub(crate) async fn wait_for_servers_changed(&self) {
         self.servers_changed.notified().await;
@@ -198,23 +203,23 @@
     only_service && origins.may_begin_unrecorded(&cx.service, version)
 }
 
-/// Returns the versions at which a new stream of the request may begin.
-pub(crate) fn permitted_versions(cx: &RequestContext) -> Vec<ServerVersion> {
+/// Returns the versions at which a new stream of the request may begin; `None` if it may
+/// begin at any.
+pub(crate) fn permitted_versions(cx: &RequestContext) -> Option<Vec<ServerVersion>> {
     let origins = &cx.shared.origins;
-    let registered = StreamServices::of(cx).is_some_and(|services| {
-        let known = origins.versions(&services.history);
-        known.contains(&services.active)
-    });
+    let registered = StreamServices::of(cx)
+        .is_some_and(|services| origins.permits(&services.history, &services.active));
     if !registered {
-        return Vec::new();
+        return Some(Vec::new());
     }
     let mut versions = origins.versions(&cx.service);
     // Nobody can resume a stream without an ID by a record.
     if !cx.id().is_empty() && must_record(cx) && !can_record(&cx.shared.peers, cx.id()) {
         versions.retain(|version| may_begin_unrecorded(cx, version));
         log::info!(id = cx.id(), versions:? = versions; "too few routers can record a new stream; restricting its versions");
+        return Some(versions);
     }
-    versions
+    (!origins.has_several_versions(&cx.service)).then_some(versions)
 }
 
 /// Returns whether a majority of a stream's witnesses seems to be reachable.
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -51,7 +51,7 @@
     index::{RouteMatch, RoutingIndex},
     origin::{
         HistorySource, MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginReply, OriginVerdict,
-        ServerVersion, StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
+        ServerVersion, StoredHistory, StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
     },
     placement::{ConnectionRoom, Obstacle, Placement, SelectedServer, Selection},
     rate_limit::{LimitNews, LimitNotice, PermitReply, RateLimit, RateLimits},
--- a/crates/peridotslip/src/forwarding/index.rs
+++ b/crates/peridotslip/src/forwarding/index.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use super::{Organisation, RoutingRule, RoutingTable, Service};
+use super::{Organisation, RoutingRule, RoutingTable, Service, origin::history_name};
 
 /// The result of looking up a request's host, path and API key.
 #[derive(Clone, Debug, PartialEq)]
@@ -103,7 +103,7 @@
     }
 
     /// Returns the hosts with resumable streams, each with a description of the
-    /// services that serve them. Two tables with the same description of a host
+    /// services that serve them, or a digest of a long one. Two tables with the same description of a host
     /// forward each of its resumable streams to the same services.
     #[must_use]
     pub fn stream_services(&self) -> &BTreeMap<String, String> {
@@ -153,7 +153,7 @@
     let describe = |by_prefix: BTreeMap<&str, Vec<&str>>| {
         let rows = by_prefix.into_iter();
         let rows = rows.map(|(prefix, services)| format!("{prefix} {}", services.join(",")));
-        rows.collect::<Vec<_>>().join("; ")
+        history_name(&rows.collect::<Vec<_>>().join("; ")).into_owned()
     };
     let hosts = by_host.into_iter();
     hosts
--- a/crates/peridotslip/src/forwarding/origin.rs
+++ b/crates/peridotslip/src/forwarding/origin.rs
@@ -5,16 +5,16 @@
 //! router that has never seen the stream, because the one that began it has
 //! died.
 //!
-//! The metadata store holds the [`VersionHistory`] of each service: the versions
-//! in the order in which they were added. A router uses a version for streams
-//! only after it has read the version there. While it knows a single version, it
-//! records nothing. Once it knows more, it records each stream at a majority of
-//! the stream's witnesses, which are routers chosen by the stream's ID, before
-//! the caller gets the first event.
+//! The metadata store holds the [`VersionHistory`] of each service: the first two
+//! versions in the order in which they were added. A router uses a version for streams
+//! only after it has read the version there, or that there have been several. While it
+//! knows a single version, it records nothing. Once it knows more, it records each stream
+//! at a majority of the stream's witnesses, which are routers chosen by the stream's ID,
+//! before the caller gets the first event.
 //!
 //! A stream of a later version is forwarded only once a majority of its witnesses
-//! has the record. Histories only grow, so whatever has never been recorded began
-//! at the first version. A router that lacks a stream's record therefore needs one
+//! has the record. Histories never lose their first two versions, so whatever has never
+//! been recorded began at the first one. A router that lacks a stream's record therefore needs one
 //! witness that has it, or a majority that surely never had it. Without either, the
 //! origin is unknown. Routers may be partitioned from the store and see different
 //! histories; they may die, and witnesses lose their records when they do.
@@ -27,13 +27,21 @@
 //! The services of routes have histories of the same kind, because a stream must not
 //! go on at another service either.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    borrow::Cow,
+    collections::{BTreeMap, HashMap},
+};
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// The name of a version of servers' software.
 pub type ServerVersion = String;
 
+/// Number of versions that a history keeps.
+const MAX_HISTORY_VERSIONS: usize = 2;
+/// Longest version that a history names in full, in bytes.
+const MAX_HISTORY_NAME_BYTES: usize = 1_024;
 /// The number of witnesses of a stream.
 pub const ORIGIN_WITNESSES: usize = 3;
 /// Longest life of a stream over all attempts of its caller, in milliseconds.
@@ -48,20 +56,81 @@
 /// Largest number of records of one router, as a bound on its memory.
 const MAX_RECORDS: usize = 50_000;
 
-/// The versions that have ever served a service, in the order in which they were
+/// The first two versions that have served a service, in the order in which they were
 /// added.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// The first one began the streams that were never recorded. The second shows that there
+/// have been several; streams of all later ones are recorded, so a history proves nothing
+/// by naming them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct VersionHistory {
     versions: Vec<ServerVersion>,
 }
 
+/// A history as the store holds it. Earlier releases add all versions, in full length.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct StoredHistory {
+    versions: Vec<ServerVersion>,
+}
+
+/// Returns how a history names a version: by itself, or by a digest if it is long.
+pub(super) fn history_name(version: &str) -> Cow<'_, str> {
+    if version.len() <= MAX_HISTORY_NAME_BYTES {
+        return Cow::Borrowed(version);
+    }
+    Cow::Owned(format!("sha256:{}", hex::encode(Sha256::digest(version))))
+}
+
+impl StoredHistory {
+    /// Returns what replaces a value that can't be decoded: several versions, of which no
+    /// server has any.
+    #[must_use]
+    pub fn unreadable(value: &[u8]) -> Self {
+        let digest = hex::encode(Sha256::digest(value));
+        Self {
+            versions: vec![format!("unreadable:{digest}"), "unreadable".to_owned()],
+        }
+    }
+
+    /// Returns whether the history has versions that prove nothing, so that the value in
+    /// the store should be replaced by a shorter one.
+    #[must_use]
+    pub fn has_surplus(&self) -> bool {
+        self.versions.len() > MAX_HISTORY_VERSIONS
+    }
+
+    /// Returns the number of versions in the store.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.versions.len()
+    }
+
+    /// Returns whether the store has no versions.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
+    }
+
+    /// Returns the part of the history that proves something.
+    #[must_use]
+    pub fn history(&self) -> VersionHistory {
+        let mut history = VersionHistory::default();
+        for version in &self.versions {
+            history.add(version);
+        }
+        history
+    }
+}
+
 impl VersionHistory {
-    /// Adds a version. Returns `false` if the history contains it.
+    /// Adds a version. Returns `false` if the history contains it, or has several
+    /// versions already.
     pub fn add(&mut self, version: &str) -> bool {
-        let new = !self.contains(version);
+        let new = self.versions.len() < MAX_HISTORY_VERSIONS && !self.contains(version);
         if new {
-            self.versions.push(version.to_owned());
+            self.versions.push(history_name(version).into_owned());
         }
         new
     }
@@ -69,7 +138,21 @@
     /// Returns whether the history contains a version.
     #[must_use]
     pub fn contains(&self, version: &str) -> bool {
-        self.versions.iter().any(|known| known == version)
+        let name = history_name(version);
+        self.versions.iter().any(|known| *known == name)
+    }
+
+    /// Returns whether streams of a version may begin: the history contains the version,
+    /// or has several, in which case all streams are recorded.
+    #[must_use]
+    pub fn permits(&self, version: &str) -> bool {
+        self.has_several() || self.contains(version)
+    }
+
+    /// Returns whether there have been several versions.
+    #[must_use]
+    pub fn has_several(&self) -> bool {
+        self.versions.len() > 1
     }
 
     /// Returns the first version.
@@ -84,7 +167,7 @@
         self.versions.first().filter(|_| self.versions.len() == 1)
     }
 
-    /// Returns all versions.
+    /// Returns the versions that the history contains.
     #[must_use]
     pub fn versions(&self) -> &[ServerVersion] {
         &self.versions
@@ -193,7 +276,7 @@
             known.history.add(version);
         }
         known.first_disputed |= history.first() != known.history.first();
-        if known.history.versions.len() > 1 {
+        if known.history.has_several() {
             known.several_since_ms.get_or_insert(now_ms);
         }
     }
@@ -203,13 +286,20 @@
         self.histories.keys().map(String::as_str)
     }
 
-    /// Returns the versions whose servers may begin streams of a service.
+    /// Returns the known versions of a service: the first two at most.
     #[must_use]
     pub fn versions(&self, service: &str) -> &[ServerVersion] {
         let known = self.histories.get(service);
         known.map_or(&[], |known| known.history.versions())
     }
 
+    /// Returns whether servers of a version may begin streams of a service.
+    #[must_use]
+    pub fn permits(&self, service: &str, version: &str) -> bool {
+        let known = self.histories.get(service);
+        known.is_some_and(|known| known.history.permits(version))
+    }
+
     /// Returns the version at which streams of a service began that were never
     /// recorded; `None` if that is unknown.
     #[must_use]
@@ -233,7 +323,8 @@
     /// Returns whether a service is known to have had several versions.
     #[must_use]
     pub fn has_several_versions(&self, service: &str) -> bool {
-        self.versions(service).len() > 1
+        let known = self.histories.get(service);
+        known.is_some_and(|known| known.history.has_several())
     }
 
     /// Returns whether streams of a service must be recorded at witnesses: it has had
--- a/crates/peridotslip/src/forwarding/stored_origins.rs
+++ b/crates/peridotslip/src/forwarding/stored_origins.rs
@@ -262,8 +262,16 @@
         seen.retain(|_, last_ms| now_ms < *last_ms + MAX_STREAM_MS);
     }
 
-    /// Returns whether more than one version of a service's history has servers, or had
-    /// some within the life of a stream.
+    /// Returns the versions of a service that have servers, or had some within the life of
+    /// a stream.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> Vec<ServerVersion> {
+        let seen = self.last_seen.get(service).into_iter();
+        seen.flat_map(BTreeMap::keys).cloned().collect()
+    }
+
+    /// Returns whether more than one of `history` has servers, or had some within the life
+    /// of a stream.
     #[must_use]
     pub fn several_serve(&self, service: &str, history: &[ServerVersion], now_ms: u64) -> bool {
         let Some(seen) = self.last_seen.get(service) else {
--- a/crates/peridotslip/tests/stream_origins.rs
+++ b/crates/peridotslip/tests/stream_origins.rs
@@ -3,14 +3,21 @@
 //! returns to older copies of itself.
 
 use peridotslip::forwarding::{
-    HistorySource, MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginVerdict, StreamOrigin,
-    StreamOrigins, VersionHistory, origin_majority,
+    HistorySource, MAX_STREAM_MS, ORIGIN_WITNESSES, OriginQuery, OriginVerdict, StoredHistory,
+    StreamOrigin, StreamOrigins, VersionHistory, origin_majority,
 };
 use proptest::prelude::*;
 
 const SERVICE: &str = "model";
 const ROUTERS: usize = 5;
 
+/// Returns what a router reads of these versions in the store.
+fn history(versions: &[String]) -> VersionHistory {
+    let stored = serde_json::json!({ "versions": versions });
+    let stored: StoredHistory = serde_json::from_value(stored).unwrap();
+    stored.history()
+}
+
 /// One step of the fleet. Routers and streams are chosen modulo their number;
 /// `reached` has a bit for each router that a call reaches.
 #[derive(Clone, Copy, Debug)]
@@ -19,6 +26,8 @@
     AddVersion { router: usize },
     /// A router sees servers of a version that may have been added before.
     SeeVersion { router: usize, version: usize },
+    /// A router of the earlier release, which adds all versions, adds one.
+    AddByEarlierRelease { version: usize },
     /// A router reads the history and adds what it knows.
     ReadHistory { router: usize },
     /// A stream begins at a server of the `version`th version that the router
@@ -54,6 +63,7 @@
         2 => (router.clone(), 1..4_usize).prop_map(|(router, version)| {
             Step::SeeVersion { router, version }
         }),
+        1 => (1..6_usize).prop_map(|version| Step::AddByEarlierRelease { version }),
         3 => router.clone().prop_map(|router| Step::ReadHistory { router }),
         4 => (router.clone(), 0..4_usize, any::<u8>()).prop_map(|(router, version, reached)| {
             Step::Begin { router, version, reached }
@@ -82,8 +92,9 @@
 
 struct Fleet {
     now_ms: u64,
-    stored: VersionHistory,
-    copied: VersionHistory,
+    /// The versions in the store.
+    stored: Vec<String>,
+    copied: Vec<String>,
     /// When the store last returned to a copy.
     restored_ms: Option<u64>,
     versions: usize,
@@ -95,8 +106,8 @@
     fn start() -> Self {
         Self {
             now_ms: 0,
-            stored: VersionHistory::default(),
-            copied: VersionHistory::default(),
+            stored: Vec::new(),
+            copied: Vec::new(),
             restored_ms: None,
             versions: 0,
             routers: vec![StreamOrigins::new(0); ROUTERS],
@@ -115,16 +126,18 @@
 
     /// Adds versions to the history and has the router read it.
     fn register(&mut self, router: usize, versions: &[String]) {
-        let before = self.stored.clone();
+        let before = history(&self.stored);
+        let mut after = before.clone();
         for version in versions {
-            self.stored.add(version);
+            after.add(version);
         }
+        self.stored = after.versions().to_vec();
         let source = match self.restored_ms {
             None => HistorySource::Complete,
             Some(_) => HistorySource::Restored,
         };
         let state = &mut self.routers[router];
-        state.set_history(SERVICE, &before, &self.stored, source, self.now_ms);
+        state.set_history(SERVICE, &before, &after, source, self.now_ms);
     }
 
     /// Has a router read the history and add what it knows.
@@ -147,12 +160,21 @@
         self.now_ms += ms;
     }
 
+    /// Returns the versions at which a router may begin streams.
+    fn permitted(&self, router: usize) -> Vec<String> {
+        let versions = (1..=self.versions).map(|version| format!("v{version}"));
+        let state = &self.routers[router];
+        versions
+            .filter(|version| state.permits(SERVICE, version))
+            .collect()
+    }
+
     /// Begins a stream if the router knows a version and a majority of the
     /// witnesses records it where that is needed. A stream of the first version may
     /// begin with fewer records.
     fn begin(&mut self, router: usize, version: usize, reached: u8) {
-        let known = self.routers[router].versions(SERVICE);
-        let Some(version) = known.get(version % known.len().max(1)).cloned() else {
+        let permitted = self.permitted(router);
+        let Some(version) = permitted.get(version % permitted.len().max(1)).cloned() else {
             return;
         };
         let stream = self.streams.len();
@@ -213,7 +235,7 @@
             }
         }
         let proves = store_reached && self.restored_ms.is_none();
-        self.stored.only().filter(|_| proves).cloned()
+        history(&self.stored).only().filter(|_| proves).cloned()
     }
 
     fn run(&mut self, step: Step) -> Result<(), TestCaseError> {
@@ -224,6 +246,12 @@
                     self.register(router, &[format!("v{version}")]);
                 }
             }
+            Step::AddByEarlierRelease { version } => {
+                let version = format!("v{version}");
+                if !self.stored.contains(&version) {
+                    self.stored.push(version);
+                }
+            }
             Step::ReadHistory { router } => self.read_history(router),
             Step::Begin {
                 router,
@@ -352,3 +380,49 @@
     assert_eq!(early, None);
     assert_eq!(late.map(String::as_str), Some("v1"));
 }
+
+/// Guards against histories that grow with each change and are never shortened.
+#[test]
+fn history_stays_short_over_many_versions() {
+    let mut history = VersionHistory::default();
+
+    for version in 0..10_000 {
+        history.add(&format!("v{version}"));
+    }
+
+    assert_eq!(history.versions(), ["v0", "v1"]);
+    assert!(history.permits("v9999"));
+    assert_eq!(history.only(), None);
+}
+
+/// Guards against versions whose length alone fills a value of the store.
+#[test]
+fn long_versions_are_named_by_digests() {
+    let versions = ["a", "b"].map(|letter| letter.repeat(1_000_000));
+    let mut history = VersionHistory::default();
+
+    history.add(&versions[0]);
+    assert!(history.contains(&versions[0]));
+    assert!(!history.permits(&versions[1]));
+    history.add(&versions[1]);
+
+    assert_eq!(history.versions().len(), 2);
+    assert!(serde_json::to_vec(&history).unwrap().len() < 200);
+}
+
+/// Guards against taking an unreadable history for an empty one: any versions may have
+/// served before.
+#[test]
+fn unreadable_history_proves_nothing() {
+    let stored = StoredHistory::unreadable(b"[[[");
+    let history = stored.history();
+    let mut state = StreamOrigins::new(0);
+
+    state.set_history(SERVICE, &history, &history, HistorySource::Complete, 0);
+
+    assert_eq!(history.only(), None);
+    assert!(state.must_record(SERVICE, 0));
+    assert!(!state.may_begin_unrecorded(SERVICE, "v1", 0));
+    let services = [SERVICE.to_owned()];
+    assert!(!state.find("begun", &services, MAX_STREAM_MS - 1).complete);
+}
--- a/models/origins.pml
+++ b/models/origins.pml
@@ -1,9 +1,10 @@
 /* Where a resumed stream began, over kills of single routers or of all of them and over
  * a restore of the store from an older copy. Three routers are the witnesses of one
- * stream, servers of two versions may begin it, and the store holds the order in which
- * the versions were added. A call may reach any of the routers or none. A router that
- * is asked to resume the stream names a version or rejects: it must never name another
- * version than the one that began the stream.
+ * stream, servers of three versions may begin it, and the store holds the first two of
+ * them in the order in which they were added. Routers of the earlier release add the third
+ * one as well, and others shorten the history then. A call may reach any of the routers or
+ * none. A router that is asked to resume the stream names a version or rejects: it must
+ * never name another version than the one that began the stream.
  *
  * Time is the life of the stream: a router that started before the stream began may
  * have run for a life, one that started after it has not. Routers that ran before a
@@ -19,12 +20,17 @@
  *   FEW_RECORDS  a stream of a later version goes on without a majority of records
  *   FORGET_START  a witness that has started again answers as if it had had all records
  *   MINORITY  one witness without a record is enough
+ *   UNREGISTERED  a router that has read one version only begins the stream at any version
+ *   DROP_SECOND  a router that shortens a history leaves the first version only
+ *   DROP_FIRST  a router that shortens a history leaves the last two versions
  */
 #define ROUTERS 3
 #define MAJORITY 2
+/* A version that is never among the first two. The others stand for any order of them. */
+#define LATER 3
 
 /* The versions in the store and in its copy, in the order of their addition; 0: none. */
-byte first = 0, second = 0, copy_first = 0, copy_second = 0;
+byte first = 0, second = 0, third = 0, copy_first = 0, copy_second = 0, copy_third = 0;
 bool restored = false, copied = false;
 
 /* What routers know. */
@@ -77,6 +83,12 @@
 #else
 #define COMPLETE(w) (known_first[w] != 0 && (from_first_record[w] || ran_for_life[w]))
 #endif
+#define PERMITS(r, v) (known_first[r] == v || known_second[r] != 0)
+#ifdef UNREGISTERED
+#define BEGINS(r, v) (known_first[r] != 0)
+#else
+#define BEGINS(r, v) PERMITS(r, v)
+#endif
 #ifdef MINORITY
 #define ENOUGH 1
 #else
@@ -89,11 +101,28 @@
     :: else ->
         if
         :: first == 0 -> first = v
-        :: else -> second = v
+        :: first != 0 && second == 0 -> second = v
+        :: else -> skip
         fi
     fi
 }
 
+/* Removes what only the earlier release adds. */
+inline shorten() {
+    if
+    :: third == 0 -> skip
+    :: else ->
+#ifdef DROP_SECOND
+        second = 0;
+#endif
+#ifdef DROP_FIRST
+        first = second;
+        second = third;
+#endif
+        third = 0
+    fi
+}
+
 /* A router adds what it knows and a version, and applies the history. */
 inline register(r, v) {
     if
@@ -102,6 +131,7 @@
         read_restored[r] = restored
     :: else -> skip
     fi;
+    shorten();
     add(known_first[r]);
     add(known_second[r]);
     add(v);
@@ -162,14 +192,16 @@
     do
     :: atomic {
         select (r : 0 .. 2);
-        select (v : 1 .. 2);
+        select (v : 1 .. 3);
         if
         /* The router sees a server of a version, and reads the history. */
-        :: known_first[r] != v && known_second[r] != v -> register(r, v)
+        :: v != LATER && !PERMITS(r, v) -> register(r, v)
+        /* A router of the earlier release adds the later version. */
+        :: r == 0 && v == LATER && second != 0 && third == 0 -> third = LATER
         /* The router reads the history. */
         :: v == 1 && (known_first[r] != 0 || second != 0) -> register(r, 0)
         /* The router begins the stream at a version that it knows. */
-        :: !used && (known_first[r] == v || known_second[r] == v) ->
+        :: !used && BEGINS(r, v) ->
             used = true;
             if
             :: known_second[r] == 0 && NEEDS_NO_RECORD(r) -> begun = v
@@ -184,11 +216,12 @@
             fi
         :: v == 1 && !one_killed -> one_killed = true; kill(r)
         :: r == 0 && v == 1 && !all_killed -> all_killed = true; kill(0); kill(1); kill(2)
-        :: r == 0 && v == 1 && !copied -> copied = true; copy_first = first; copy_second = second
+        :: r == 0 && v == 1 && !copied -> copied = true; copy_first = first; copy_second = second; copy_third = third
         :: r == 0 && v == 1 && copied && !restored ->
             restored = true;
             first = copy_first;
             second = copy_second;
+            third = copy_third;
             unaware[0] = (known_first[0] != 0);
             unaware[1] = (known_first[1] != 0);
             unaware[2] = (known_first[2] != 0)
