Serve hosts and organisations whose names are longer than a key

Callers: no stream of a host of 240 bytes began, and no request of an organisation whose name has 180 bytes or more was served (503).

Cause: the name is a part of a key of the store, which takes 200 bytes. The write is refused for ever. Ruled out: the length of the value, which is short.

--- a/crates/peridotslip-edge/src/budgets/epochs.rs
+++ b/crates/peridotslip-edge/src/budgets/epochs.rs
@@ -9,7 +9,7 @@
 use peridotslip::{ids::OrganisationName, ledger::ShardRecord};
 
 use super::{BudgetManager, ManagedBudget, exchange::decode_record};
-use crate::ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError, StoreResult};
+use crate::ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError, StoreResult, bounded_key};
 
 /// Prefix of the keys of records of the first epoch. The organisation's name
 /// follows.
@@ -25,7 +25,17 @@
 /// Longest pause after a failed call to the store, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 800;
 fn first_record_key(organisation: &OrganisationName) -> String {
-    format!("{FIRST_PREFIX}{organisation}")
+    bounded_key(FIRST_PREFIX, organisation.as_str(), "")
+}
+
+/// Returns the key of the record of a later epoch.
+fn later_record_key(organisation: &OrganisationName, epoch: u64) -> String {
+    // Fixed width, so that the keys are in the order of the epochs.
+    bounded_key(
+        LATER_PREFIX,
+        organisation.as_str(),
+        &format!("/{epoch:020}"),
+    )
 }
 
 fn decode_epoch(item: &Item) -> StoreResult<StoreEpoch> {
@@ -55,8 +65,7 @@
         if epoch == first_epoch {
             return first_record_key(organisation);
         }
-        // Fixed width, so that the keys are in the order of the epochs.
-        format!("{LATER_PREFIX}{organisation}/{:020}", epoch.0)
+        later_record_key(organisation, epoch.0)
     }
 
     /// Reads the number of the first epoch, or writes it if this is the first
@@ -128,7 +137,8 @@
         epoch: StoreEpoch,
     ) -> StoreResult<Option<EarlierRecord>> {
         self.metrics.store_call("list");
-        let prefix = format!("{LATER_PREFIX}{}/", budget.organisation);
+        let mut prefix = later_record_key(&budget.organisation, 0);
+        prefix.truncate(prefix.rfind('/').map_or(0, |slash| slash + 1));
         let listing = self.store.list(&prefix).await?;
         let newest = listing.items.iter().rev().find_map(|item| {
             let written_in = item.key.strip_prefix(&prefix)?.parse().ok()?;
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, StatusCode};
 use peridotslip::forwarding::{LimitNotice, LoadReport, PromptProfile, RoutingTable, ServerEntry};
 use quick_error::quick_error;
+use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
 quick_error! {
@@ -49,6 +50,19 @@
     }
 }
 
+/// Longest key that the store accepts, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+
+/// Returns the key of `name` between `prefix` and `suffix`. A digest replaces a name that is
+/// too long for a key.
+pub(crate) fn bounded_key(prefix: &str, name: &str, suffix: &str) -> String {
+    if prefix.len() + name.len() + suffix.len() <= MAX_KEY_BYTES {
+        return format!("{prefix}{name}{suffix}");
+    }
+    let digest = hex::encode(Sha256::digest(name));
+    format!("{prefix}sha256-{digest}{suffix}")
+}
+
 /// The result of a call to the store.
 pub type StoreResult<T> = Result<T, StoreError>;
 
--- a/crates/peridotslip-edge/src/server_versions.rs
+++ b/crates/peridotslip-edge/src/server_versions.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     context::SharedState,
-    ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError, StoreResult},
+    ports::{CasOutcome, Item, Revision, StoreEpoch, StoreError, StoreResult, bounded_key},
     registry,
     stream_origins::stream_services_history,
 };
@@ -218,7 +218,7 @@
     versions: &[ServerVersion],
 ) -> StoreResult<()> {
     let store = &shared.platform.store;
-    let key = format!("{PREFIX}{service}");
+    let key = bounded_key(PREFIX, service, "");
     shared.metrics.store_call("versions");
     let (mut revision, mut item) = store.get_for_swap(&key).await?;
     loop {
@@ -330,7 +330,7 @@
     }
     shared.metrics.store_call("versions");
     let store = &shared.platform.store;
-    let item = store.get(&format!("{PREFIX}{service}")).await;
+    let item = store.get(&bounded_key(PREFIX, service, "")).await;
     let decoded = item.and_then(|item| {
         let epoch = item.as_ref().map(|item| item.revision.epoch);
         Ok((decode(item.as_ref())?.history(), epoch))
