Take no response for a refusal that isn't tied to its request

Callers, as other operators report it: "not run, try again" for requests that an engine ran or was running (REFUSED), or such a request ran at a second engine (TWICE), after a faulty engine had written an earlier refusal once more on a connection that was in use again. It could happen here.

Cause: a response without an attempt ID passed the check of the ID, which only refused other IDs, and the connection alone tied a refusal to its request. A copy that breaks off in a header's value or in the status line runs into the next response, which has the right ID. A 408, 421, 429 or 503 that doesn't state "not run" was passed on as it was. Ruled out: copies on idle connections (closed by hyper), copies after a refusal (the router closes the connection), one ID sent twice to a server (RetryState::tried).

Change: a response counts only if it has exactly one ID, the request's, and no part of its head begins another response. Any other may have run: 502, or another server if the request may be repeated. A refusal has the header and one of its four statuses, and a failure that would promise "not run" without saying so is not passed on. What a response says of the server's limit counts only if it is tied as well.

Why it works: an ID is sent to each server once, so only the response to this request has it alone and whole.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -693,6 +693,17 @@
     }
 }
 
+/// Why a response can't be taken for the answer to the request.
+const UNTIED: &str = "response without the request's ID";
+
+/// Statuses that promise a caller that its request has not run.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Decodes the head of a response, records what the server says of itself and checks the
 /// response.
 fn examine_head(
@@ -710,6 +721,7 @@
     if metadata.leaving {
         record_leaving(cx, server, &metadata);
     }
+    check_tied(cx, response, &metadata, in_flight)?;
     if !metadata.wrong_server {
         server_limits::record_notice(&cx.shared, server, metadata.limit, sent_ms);
     }
@@ -721,8 +733,40 @@
     Ok(metadata)
 }
 
-/// Checks that the response belongs to this request and that the server ran
-/// the request, and records the load that the server reported.
+/// Returns whether a part of the head is the beginning of another response: a server has
+/// written a response incompletely and another one after it.
+fn has_two_heads(response: &http::Response<Incoming>) -> bool {
+    let begins = |bytes: &[u8]| bytes.windows(7).any(|part| part == b"HTTP/1.");
+    let reason = response.extensions().get::<hyper::ext::ReasonPhrase>();
+    reason.is_some_and(|reason| begins(reason.as_bytes()))
+        || response
+            .headers()
+            .values()
+            .any(|value| begins(value.as_bytes()))
+}
+
+/// Checks that the response is that to this request, by its ID: a server may write an
+/// earlier response, or one of another connection, once more. Any other response says
+/// nothing of the request, not even that it has not run.
+fn check_tied(
+    cx: &RequestContext,
+    response: &http::Response<Incoming>,
+    metadata: &ResponseMetadata,
+    in_flight: &mut InFlightGuard,
+) -> Result<(), AttemptError> {
+    let own = cx.metadata.attempt_id.as_deref();
+    let (outcome, reason) = match metadata.attempt_id.as_deref() {
+        _ if has_two_heads(response) => (AttemptOutcome::Failed, "two responses in one"),
+        None => (AttemptOutcome::Failed, UNTIED),
+        Some(id) if Some(id) != own => (AttemptOutcome::Neutral, "answer to another request"),
+        Some(_) => return Ok(()),
+    };
+    in_flight.end(outcome);
+    Err(AttemptError::MayHaveRun(reason.to_owned()))
+}
+
+/// Checks that the server ran the request and that the response is valid, and records the
+/// load that the server reported.
 fn check_response(
     cx: &RequestContext,
     server: &ServerEntry,
@@ -730,16 +774,6 @@
     metadata: &ResponseMetadata,
     in_flight: &mut InFlightGuard,
 ) -> Result<(), AttemptError> {
-    let mismatched = metadata
-        .attempt_id
-        .as_deref()
-        .is_some_and(|id| Some(id) != cx.metadata.attempt_id.as_deref());
-    if mismatched {
-        in_flight.end(AttemptOutcome::Neutral);
-        return Err(AttemptError::MayHaveRun(
-            "answer to another request".to_owned(),
-        ));
-    }
     if let Some(load) = metadata.load {
         let now_ms = cx.shared.clock.now_ms();
         cx.shared.placement().record_load(&server.id, load, now_ms);
@@ -756,10 +790,15 @@
         in_flight.end(AttemptOutcome::Full);
         return Err(AttemptError::NotRun("server refused"));
     }
-    // A valid success is signed, has the attempt's ID and, because none was
-    // requested, no content encoding.
-    let success = response.status().is_success();
-    if success && (!metadata.signed || metadata.attempt_id.is_none() || metadata.encoded) {
+    let status = response.status();
+    if PROMISES.contains(&status) {
+        in_flight.end(AttemptOutcome::Failed);
+        return Err(AttemptError::MayHaveRun(format!(
+            "{status} without stating that the request has not run"
+        )));
+    }
+    // A valid success is signed and, because none was requested, has no content encoding.
+    if status.is_success() && (!metadata.signed || metadata.encoded) {
         in_flight.end(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(
             "success without signature".to_owned(),
--- a/crates/peridotslip-edge/src/ports.rs
+++ b/crates/peridotslip-edge/src/ports.rs
@@ -241,11 +241,12 @@
 #[allow(clippy::struct_excessive_bools)] // Each flag is independent of the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
-    /// ID of the attempt to which the response belongs.
+    /// ID of the attempt to which the response belongs; `None` if it names none or several.
     pub attempt_id: Option<String>,
-    /// Whether the response has the server's signature.
+    /// Whether the response has the server's signature, once.
     pub signed: bool,
-    /// Whether the server states that it did not run the request.
+    /// Whether the server states that it did not run the request to which the response
+    /// belongs.
     pub not_run: bool,
     /// Whether the request reached a server other than the addressed one.
     pub wrong_server: bool,
