--- a/crates/peridotslip-edge/src/store_watch/servers.rs
+++ b/crates/peridotslip-edge/src/store_watch/servers.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Removes the server of a key that has no entry any more.
+    fn remove(&self, key: &str, reason: &str) {
+        if let Some(id) = key.strip_prefix(self.prefix())
+            && self.shared.placement().remove(id)
+        {
+            log::info!(server = id, reason; "server removed");
+        }
+    }
+
     /// Removes the servers that have been without an entry for too long.
     fn remove_gone(&self) {
         let gone = self
@@ -117,15 +126,16 @@
     }
 
     /// Servers rewrite their entries all the time with a new number and, while they
-    /// are cold, less time until they are warm. An entry that can't be decoded changes
-    /// nothing either.
+    /// are cold, less time until they are warm. An invalid entry names no server, whatever
+    /// it says.
     fn is_same(&self, key: &str, old: &[u8], new: &[u8]) -> bool {
         let dialect = &self.shared.platform.dialect;
-        let Some(mut new) = dialect.decode_server(key, new) else {
-            return true;
-        };
-        let Some(old) = dialect.decode_server(key, old) else {
-            return false;
+        let new = dialect.decode_server(key, new);
+        let old = dialect.decode_server(key, old);
+        let (mut new, old) = match (new, old) {
+            (Some(new), Some(old)) => (new, old),
+            (None, None) => return true,
+            _ => return false,
         };
         let now_ms = self.shared.clock.now_ms();
         let is_warmup_changed = self
@@ -160,18 +170,11 @@
 
     fn on_event(&mut self, event: WatchEvent) {
         match event {
-            WatchEvent::Put(item) => {
-                if let Some(server) = self.decode(&item) {
-                    self.apply(server, item.revision);
-                }
-            }
-            WatchEvent::Removed(key) => {
-                if let Some(id) = key.strip_prefix(self.prefix())
-                    && self.shared.placement().remove(id)
-                {
-                    log::info!(server = id, reason = "entry removed"; "server removed");
-                }
-            }
+            WatchEvent::Put(item) => match self.decode(&item) {
+                Some(server) => self.apply(server, item.revision),
+                None => self.remove(&item.key, "invalid entry"),
+            },
+            WatchEvent::Removed(key) => self.remove(&key, "entry removed"),
         }
     }
 
@@ -183,6 +186,7 @@
         let mut listed = HashSet::new();
         for item in &listing.items {
             let Some(server) = self.decode(item) else {
+                log::warn!(key = item.key.as_str(), bytes = item.value.len(); "invalid entry of a server; ignoring it");
                 continue;
             };
             let id = server.id.clone();
--- a/crates/peridotslip/src/forwarding/warmup.rs
+++ b/crates/peridotslip/src/forwarding/warmup.rs
@@ -305,7 +305,7 @@
         if entry.started_ms == 0 {
             return None;
         }
-        let age_ms = as_signed(unix_ms) - as_signed(entry.started_ms);
+        let age_ms = as_signed(unix_ms).saturating_sub(as_signed(entry.started_ms));
         Some(as_signed(now_ms) - age_ms.max(0))
     }
 
@@ -374,7 +374,7 @@
         let known = self.servers.get(&new.id);
         let known_left_ms = known.map_or(0, |known| known.entry_until_ms.saturating_sub(now_ms));
         (passed_on.cold_left_ms > 0) != (new.cold_left_ms > 0)
-            || new.cold_left_ms > known_left_ms + EXTENSION_MS
+            || new.cold_left_ms > known_left_ms.saturating_add(EXTENSION_MS)
     }
 
     /// Returns from when on this router may ask for a permit for a server, in
