Count an entry of a router under its own key only

Callers: an entry under another key that names a VM of the fleet replaced the address of that VM's router. With two routers, streams of later versions were refused or began at the first version only.

Cause: the name in the value counted, not the key.

Change: an entry whose key is not that of the VM which it names is invalid.

--- a/crates/peridotslip-edge/src/registry.rs
+++ b/crates/peridotslip-edge/src/registry.rs
@@ -39,9 +39,10 @@
     format!("{PREFIX}{vm}")
 }
 
-/// Decodes an entry. Returns `None` if it is invalid.
+/// Decodes an entry. Returns `None` if it is invalid, or names another VM than its key.
 pub(crate) fn decode(item: &Item) -> Option<Entry> {
-    serde_json::from_slice(&item.value).ok()
+    let entry: Entry = serde_json::from_slice(&item.value).ok()?;
+    (key(&entry.member.vm) == item.key).then_some(entry)
 }
 
 /// Reads the entry of a VM from the store. Returns `None` if there is no valid
