Bound the memory that invalid binary values ask for

Callers: a few bytes under peridotslip/ledger/ or peridotslip/origins/, from another writer, ended every router that read them, and again after each restart (report of other operators: "ended again and again").

memory allocation of bytes failed (SIGABRT)

Cause: the decoder allocates the length that a string claims before it reads the bytes. Messages between routers were decoded in the same way. Besides, a batch of origins may name 60,000 of them, which are compared with each other.

Batches with more origins or records than a router writes are passed over.

--- a/crates/peridotslip-daemon/src/peer/frames.rs
+++ b/crates/peridotslip-daemon/src/peer/frames.rs
@@ -8,7 +8,7 @@
 use super::wire::{decode, encode};
 
 /// Maximum size of a frame without its length prefix, in bytes.
-const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
 /// A frame of the response that the executing router streams back. Variants
 /// are encoded by position.
--- a/crates/peridotslip-daemon/src/peer/wire.rs
+++ b/crates/peridotslip-daemon/src/peer/wire.rs
@@ -1,5 +1,6 @@
 //! The messages between routers.
 
+use super::frames::MAX_FRAME_BYTES;
 use peridotslip::{
     ledger::{Report, ReportReply},
     members::MemberUpdate,
@@ -85,6 +86,10 @@
 /// The path of the streams that forward requests.
 pub(crate) const FORWARD_PATH: &str = "/forward";
 
+/// Most memory that the strings and lists of a value may ask for while it is decoded, in
+/// bytes. A number counts with its full size, of which a frame may have an eighth.
+const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
+
 /// Encodes a value with `bincode`.
 pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default()
@@ -93,6 +98,7 @@
 /// Decodes a value that takes up the whole buffer. Returns `None` if the
 /// buffer is malformed or has bytes left over.
 pub(super) fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<T> {
-    let (value, used) = bincode::serde::decode_from_slice(buf, bincode::config::standard()).ok()?;
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (value, used) = bincode::serde::decode_from_slice(buf, config).ok()?;
     (used == buf.len()).then_some(value)
 }
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -22,6 +22,9 @@
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Most memory that the strings and lists of a message may ask for while it is decoded, in
+/// bytes. A number counts with its full size, of which a message may have an eighth.
+const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
 
@@ -69,7 +72,8 @@
 }
 
 fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<T> {
-    let (value, used) = bincode::serde::decode_from_slice(buf, bincode::config::standard()).ok()?;
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (value, used) = bincode::serde::decode_from_slice(buf, config).ok()?;
     (used == buf.len()).then_some(value)
 }
 
--- a/crates/peridotslip/src/forwarding/stored_origins.rs
+++ b/crates/peridotslip/src/forwarding/stored_origins.rs
@@ -144,6 +144,14 @@
     records: Vec<(OriginKey, u16)>,
 }
 
+impl StoredBatch {
+    /// Returns whether the batch has no more records and origins than a router writes. A
+    /// longer one takes too much time to read.
+    fn is_bounded(&self) -> bool {
+        self.records.len() <= MAX_BATCH_RECORDS && self.origins.len() <= MAX_BATCH_RECORDS
+    }
+}
+
 /// Encodes records as a value of the store. `unix_ms` is when they are written.
 #[must_use]
 pub fn encode_origins(records: &[QueuedOrigin], unix_ms: u64) -> Vec<u8> {
@@ -184,7 +192,8 @@
         let batches = values.filter_map(util::decode::<StoredBatch>);
         // A batch from the future was written by a clock that is ahead.
         let mut batches: Vec<StoredBatch> = batches
-            .filter(|batch| batch.format == FORMAT && unix_ms < batch.written_ms + READ_BATCH_MS)
+            .filter(|batch| batch.format == FORMAT && batch.is_bounded())
+            .filter(|batch| unix_ms < batch.written_ms.saturating_add(READ_BATCH_MS))
             .collect();
         batches.sort_by_key(|batch| std::cmp::Reverse(batch.written_ms));
         let mut found = Self::default();
