Pause after the store has rejected the record of a budget

Callers: none saw it; the store did. A record that the store never accepts was written again every 1.2 s at each router that uses the budget, without end.

Cause: the exchange took every failure for one that passes.

Change: after a rejected write, the exchange says so as an error and pauses 30 s, or until the store's next epoch.

--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -24,6 +24,9 @@
 const FIRST_BACKOFF_MS: u64 = 150;
 /// The longest pause after a failed exchange, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// Pause after the store has rejected a record, in milliseconds. The write succeeds only
+/// once entries of the record have expired.
+const REJECTED_PAUSE_MS: u64 = 30_000;
 /// The largest number of compare-and-swap attempts in one exchange.
 const MAX_SWAP_ATTEMPTS: u32 = 6;
 
@@ -75,9 +78,19 @@
                     budget.store_unreachable.store(true, Ordering::Relaxed);
                     cached = None;
                     let name = budget.name.as_str();
-                    log::warn!(budget = name, reason = err.to_string().as_str(); "exchange with the store failed; marking the store unreachable");
+                    let reason = err.to_string();
                     self.metrics.store_failed();
                     self.transfer_to_owner(&budget).await;
+                    if matches!(err, StoreError::Rejected(_)) {
+                        log::error!(budget = name, reason = reason.as_str(), retry_ms = REJECTED_PAUSE_MS; "the store rejects the budget's record; its tokens can't be refilled");
+                        let pause = Duration::from_millis(REJECTED_PAUSE_MS);
+                        tokio::select! {
+                            () = tokio::time::sleep(pause) => {}
+                            Ok(()) = epoch.changed() => {}
+                        }
+                        continue;
+                    }
+                    log::warn!(budget = name, reason = reason.as_str(); "exchange with the store failed; marking the store unreachable");
                     tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
                     backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
                 }
