Tell a Via header from the beginning of another response

Cause: the check looked for the protocol's name alone.

Change: it looks for a status line, the protocol and three digits.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -733,16 +733,23 @@
     Ok(metadata)
 }
 
+/// Returns whether `bytes` contain the beginning of a status line, such as `HTTP/1.1 200`.
+/// A `Via` header may name the protocol alone.
+fn has_status_line(bytes: &[u8]) -> bool {
+    bytes.windows(12).any(|part| {
+        part.starts_with(b"HTTP/1.") && part[8] == b' ' && part[9..].iter().all(u8::is_ascii_digit)
+    })
+}
+
 /// Returns whether a part of the head is the beginning of another response: a server has
 /// written a response incompletely and another one after it.
 fn has_two_heads(response: &http::Response<Incoming>) -> bool {
-    let begins = |bytes: &[u8]| bytes.windows(7).any(|part| part == b"HTTP/1.");
     let reason = response.extensions().get::<hyper::ext::ReasonPhrase>();
-    reason.is_some_and(|reason| begins(reason.as_bytes()))
+    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
         || response
             .headers()
             .values()
-            .any(|value| begins(value.as_bytes()))
+            .any(|value| has_status_line(value.as_bytes()))
 }
 
 /// Checks that the response is that to this request, by its ID: a server may write an
