Keep the key of a log line

Cause: a line of the registration of server versions had got the key history in place of service; keys of log lines stay as they are.

Change: the key is service again.

--- a/crates/peridotslip-edge/src/server_versions.rs
+++ b/crates/peridotslip-edge/src/server_versions.rs
@@ -130,12 +130,12 @@
                 }
                 Err(err @ StoreError::Rejected(_)) => {
                     self.failed.remove(&history);
-                    log::error!(history = history.as_str(), reason = err.to_string().as_str(); "can't register server versions; new ones get no streams");
+                    log::error!(service = history.as_str(), reason = err.to_string().as_str(); "can't register server versions; new ones get no streams");
                     self.rejected.insert((history, versions));
                 }
                 Err(err) => {
                     shared.metrics.store_failed();
-                    log::warn!(history = history.as_str(), reason = err.to_string().as_str(); "can't register server versions; new ones get no streams until a retry succeeds");
+                    log::warn!(service = history.as_str(), reason = err.to_string().as_str(); "can't register server versions; new ones get no streams until a retry succeeds");
                     self.failures += 1;
                     self.failed.insert(history.clone(), self.failures);
                     let mut left: Vec<Missing> = missing.collect();
