Divide a VM's memory and descriptors at the start

What responses may use was a constant (16 MiB), and nothing else that clients make a router hold had a bound to fit beside it.

Ruled out: a limit for each case by itself, whose sum nobody checks.

Change: `vm_size.memory_mb` and `vm_size.max_fds`, filled in by the template.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -17,6 +17,7 @@
         RoutingIndex, RoutingRule, Selection, ServerVersion, TableFreshness, WarmupPermits,
     },
     memory::MemoryPool,
+    vm_shares::{self, VmShares},
 };
 
 use crate::{
@@ -49,10 +50,8 @@
 /// use.
 const RATIO_SHARE: f64 = 0.7;
 
-/// Memory for the content of all responses, in bytes. A VM has at least 88 MB.
-const RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
-/// Free memory for responses below which the router is short of it, in bytes.
-const MIN_FREE_RESPONSE_BYTES: usize = RESPONSE_MEMORY_BYTES / 4;
+/// The router is short of memory for responses if less than one of so many parts is free.
+const MIN_FREE_RESPONSE_PARTS: usize = 4;
 
 /// The state that all requests share.
 pub(crate) struct SharedState {
@@ -68,6 +67,7 @@
     pub(crate) link_gate: LinkGate,
     /// What shortages cost organisations.
     pub(crate) shortages: Shortages,
+    pub(crate) vm_shares: VmShares,
     pub(crate) response_memory: MemoryPool,
     pub(crate) streamed: Arc<StreamedResponses>,
     pub(crate) placement: Mutex<Placement>,
@@ -91,6 +91,11 @@
 }
 
 impl SharedState {
+    /// Returns the state at the start of a router.
+    ///
+    /// # Errors
+    ///
+    /// An error if the VM is too small for a router.
     pub(crate) fn new(
         settings: Settings,
         platform: Platform,
@@ -99,20 +104,22 @@
         peers: Arc<Peers>,
         budgets: Arc<BudgetManager>,
         health: Arc<LocalHealth>,
-    ) -> Self {
+    ) -> vm_shares::Result<Self> {
+        let vm_shares = settings.vm_size.shares()?;
         let mut placement = Placement::new(&settings.data_centre);
         placement.seed_choices(rand::random());
         let placement = Mutex::new(placement);
         let feeds = Feeds::new(&settings.vm, clock);
         let hedge_pools = HedgePools::new(peers.local().incarnation);
-        let response_memory = MemoryPool::new(RESPONSE_MEMORY_BYTES);
-        Self {
+        let response_memory = MemoryPool::new(vm_shares.responses);
+        Ok(Self {
             upstream: ConnectionPools::new(metrics.clone(), health.meter.clone()),
             connection_ranks: ConnectionRanks::default(),
             link_gate: LinkGate::default(),
             shortages: Shortages::default(),
             streamed: Arc::new(StreamedResponses::new(response_memory.clone(), clock)),
             response_memory,
+            vm_shares,
             settings: Mutex::new(Arc::new(settings)),
             platform,
             metrics,
@@ -135,7 +142,7 @@
             stopping: AtomicBool::new(false),
             peer_state_loaded: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
-        }
+        })
     }
 
     /// Returns the active settings.
@@ -211,7 +218,8 @@
     /// Returns whether this router lacks what it needs for its callers' requests, so
     /// that it makes no optional attempts.
     pub(crate) fn is_short_of_capacity(&self) -> bool {
-        self.is_stopping() || self.response_memory.free() < MIN_FREE_RESPONSE_BYTES
+        self.is_stopping()
+            || self.response_memory.free() < self.vm_shares.responses / MIN_FREE_RESPONSE_PARTS
     }
 
     /// Runs `f` on the retry budget of `service`.
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -136,7 +136,7 @@
             peers.clone(),
             budgets,
             health,
-        ));
+        )?);
         if let Some(address) = &listen.metrics {
             serve_metrics(address, &shared).await?;
         }
--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -6,7 +6,10 @@
     path::{Path, PathBuf},
 };
 
-use peridotslip::relay::VmSize;
+use peridotslip::{
+    relay::VmSize,
+    vm_shares::{self, VmShares},
+};
 use quick_error::quick_error;
 use serde::Deserialize;
 
@@ -110,9 +113,24 @@
     pub cores: f64,
     /// Bandwidth of the VM's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory that the process may use, in MB; 0 if it is unknown.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open; 0 if it is unknown.
+    pub max_fds: usize,
 }
 
 impl VmCapacity {
+    /// Returns the shares of the VM that clients can make the router use.
+    ///
+    /// # Errors
+    ///
+    /// An error if the VM is too small for a router.
+    pub(crate) fn shares(&self) -> vm_shares::Result<VmShares> {
+        let memory_bytes = self.memory_mb.saturating_mul(1_000_000);
+        let memory_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX);
+        VmShares::new(memory_bytes, self.max_fds)
+    }
+
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
     pub(crate) fn size(&self) -> VmSize {
         VmSize {
@@ -319,6 +337,15 @@
         {
             return field("vm_size", "cores and link_mbps must not be negative");
         }
+        match self.vm_size.shares() {
+            Ok(_) => {}
+            Err(vm_shares::Error::Memory) => {
+                return field("vm_size", "memory_mb must be 0 or 32 or more");
+            }
+            Err(vm_shares::Error::Descriptors) => {
+                return field("vm_size", "max_fds must be 0 or 250 or more");
+            }
+        }
         if !(0.0..=1.0).contains(&self.admission.link_share) {
             return field("admission", "link_share must be from 0 to 1");
         }
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -67,6 +67,7 @@
 - [`refusal`]: the reasons for which a request is refused or retried.
 - [`rotation`]: whether an overloaded router should get new connections.
 - [`relay`]: passing the store's changes on from few routers to all others.
+- [`vm_shares`]: the shares of a VM's memory and descriptors that clients can use.
 */
 
 pub mod admission;
@@ -92,3 +93,4 @@
 pub mod slow_readers;
 pub mod tables;
 mod util;
+pub mod vm_shares;
