Bound the memory of request bodies

Callers saw: their connections reset when a router ended for its memory, under clients that sent many large bodies, or chunked ones in large or very small chunks, most stopping just short of their end and staying open.

Cause: bodies were collected as the pieces in which they arrived, and nothing counted them. Each piece also cost 32 bytes and kept the connection's buffer, with the framing of the chunks, alive: chunks of a byte took some 40 times their content. Joining the pieces held a body twice.

Ruled out: the link's admission. It bounds a rate, not what stays open.

Change: content is copied out of the connection's buffer into parts that a shared memory counts, and sent to servers part by part, never joined. An organisation may hold at most what stays free. When memory is short, the body that has not grown for longest, and for a second or more, gives way; else the growing one is refused at once. Both get 503 `memory-short` with `Retry-After`, before anything was sent to a server. A body is waited for up to the route's timeout, no longer than the caller's deadline as before.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -9,7 +9,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, header};
 use peridotslip::{
     forwarding::{
@@ -35,6 +34,7 @@
     peers::Peers,
     ports::{Platform, RequestMetadata},
     reason::RejectionReason,
+    request_body::{RequestBodies, RequestContent},
     settings::Settings,
     shortage::Shortages,
     store_availability::StoreAvailability,
@@ -69,6 +69,7 @@
     pub(crate) shortages: Shortages,
     pub(crate) vm_shares: VmShares,
     pub(crate) response_memory: MemoryPool,
+    pub(crate) request_bodies: Arc<RequestBodies>,
     pub(crate) streamed: Arc<StreamedResponses>,
     pub(crate) placement: Mutex<Placement>,
     /// The permits for cold servers that this router gives out.
@@ -119,6 +120,7 @@
             shortages: Shortages::default(),
             streamed: Arc::new(StreamedResponses::new(response_memory.clone(), clock)),
             response_memory,
+            request_bodies: RequestBodies::new(vm_shares.request_bodies, clock),
             vm_shares,
             settings: Mutex::new(Arc::new(settings)),
             platform,
@@ -293,7 +295,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestContent,
     pub(crate) metadata: RequestMetadata,
     pub(crate) index: Arc<RoutingIndex>,
     pub(crate) route: Option<Arc<RoutingRule>>,
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use peridotslip::{
     forwarding::{
@@ -33,6 +33,7 @@
     context::{RequestContext, SharedState},
     link_gate::LinkTicket,
     ports::{ResponseMetadata, UpstreamRequestMetadata},
+    request_body::RequestContent,
     server_limits::{self, Permit},
     upstream::{AcquireError, ConnectionError, PooledConnection, SendResult},
     warmup::{self, WarmupPermit},
@@ -621,7 +622,7 @@
     server: &ServerEntry,
     options: &SendOptions<'_>,
     remaining: Duration,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+) -> Result<Request<RequestContent>, http::Error> {
     let organisation = cx.organisation.as_ref();
     let metadata = UpstreamRequestMetadata {
         server: &server.id,
@@ -635,7 +636,7 @@
     let mut request = Request::builder()
         .method(cx.method.clone())
         .uri(path)
-        .body(Full::new(cx.body.clone()))?;
+        .body(cx.body.clone())?;
     *request.headers_mut() = cx
         .shared
         .platform
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod ports;
 mod reason;
 mod registry;
+mod request_body;
 mod rpc;
 mod run;
 mod server_limits;
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body as _, Incoming},
     server::conn::http1,
@@ -28,6 +28,7 @@
     limited_stream::{LimitedStream, RequestActiveGuard, RequestSequence},
     link_gate,
     reason::RejectionReason,
+    request_body::{IncomingBody, RequestContent},
 };
 
 /// Pause after a failed accept, in milliseconds.
@@ -140,7 +141,7 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body: Bytes::new(),
+        body: RequestContent::default(),
         metadata,
         route: None,
         organisation: None,
@@ -275,27 +276,63 @@
 
 /// Reads the complete body into `cx`.
 async fn read_body(cx: &mut RequestContext, body: Incoming) -> Result<()> {
+    if body.is_end_stream() {
+        return Ok(());
+    }
+    let organisation = cx.organisation.as_ref();
+    let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
+    let incoming = cx.shared.request_bodies.begin(organisation);
+    let mut timeout = cx.time_remaining();
+    if cx.metadata.deadline_ms.is_none() {
+        timeout = timeout.min(Duration::from_millis(BODY_TIMEOUT_MS));
+    }
+    let read = tokio::select! {
+        read = tokio::time::timeout(timeout, read_content(cx, body, &incoming)) => read,
+        () = incoming.wait_gave_way() => return Err(short(&cx.shared, RejectionReason::MemoryShort)),
+    };
+    match read {
+        Ok(read) => read?,
+        Err(_) => return Err(Rejection::new(RejectionReason::NotStarted)),
+    }
+    cx.body = incoming
+        .finish()
+        .map_err(|_| short(&cx.shared, RejectionReason::MemoryShort))?;
+    Ok(())
+}
+
+/// Appends the content of a body to `incoming` until its end.
+async fn read_content(
+    cx: &RequestContext,
+    mut body: Incoming,
+    incoming: &IncomingBody,
+) -> Result<()> {
     let limit = cx.index.table().limits.max_body_bytes;
-    let timeout = Duration::from_millis(cx.metadata.deadline_ms.unwrap_or(BODY_TIMEOUT_MS));
-    let ticket = cx.link_ticket.clone();
-    // Bytes are recorded as they arrive: those of an incomplete body used the link too.
-    let body = Limited::new(body, limit).map_frame(move |frame| {
-        if let (Some(ticket), Some(data)) = (&ticket, frame.data_ref()) {
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Rejection::new(RejectionReason::BadRequest))?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        // Bytes of an incomplete body used the link too.
+        if let Some(ticket) = &cx.link_ticket {
             ticket.record_body(data.len());
         }
-        frame
-    });
-    match tokio::time::timeout(timeout, body.collect()).await {
-        Ok(Ok(body)) => {
-            cx.body = body.to_bytes();
-            Ok(())
-        }
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(Rejection::new(RejectionReason::BodyTooLong))
+        length += data.len();
+        if length > limit {
+            return Err(Rejection::new(RejectionReason::BodyTooLong));
         }
-        Ok(Err(_)) => Err(Rejection::new(RejectionReason::BadRequest)),
-        Err(_) => Err(Rejection::new(RejectionReason::NotStarted)),
+        incoming
+            .append(data)
+            .map_err(|_| short(&cx.shared, RejectionReason::MemoryShort))?;
     }
+    Ok(())
+}
+
+/// Returns the rejection of a request for which there is no room. The retry reaches
+/// another router; it is spread because many are rejected at the same time.
+fn short(shared: &SharedState, reason: RejectionReason) -> Rejection {
+    let after_ms = shared.settings().timing.retry_after_ms;
+    Rejection::after(reason, rand::random_range(after_ms / 2..=after_ms))
 }
 
 /// Returns the response for a rejection. The body is the reason's label.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -27,6 +27,8 @@
     TokensShort,
     /// The router's link can't carry the request.
     Overloaded,
+    /// The router has no memory for the body.
+    MemoryShort,
     /// No server of the service accepts requests.
     NoServer,
     /// All servers that could run the request are in evacuated data centres.
@@ -77,6 +79,7 @@
             Self::BudgetExhausted => "budget-exhausted",
             Self::TokensShort => "tokens-short",
             Self::Overloaded => "overloaded",
+            Self::MemoryShort => "memory-short",
             Self::NoServer => "no-server",
             Self::Evacuated => "evacuated",
             Self::NoHomeRegion => "no-home-region",
@@ -108,6 +111,7 @@
             | Self::TableStale
             | Self::TokensShort
             | Self::Overloaded
+            | Self::MemoryShort
             | Self::NoServer
             | Self::Evacuated
             | Self::NoHomeRegion
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -15,9 +15,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use peridotslip::forwarding::{ServerEntry, ServerStart};
@@ -25,7 +23,7 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use self::overhead::{OverheadAllowance, OverheadLimitedStream};
-use crate::{local_health::LinkMeter, metrics::Metrics};
+use crate::{local_health::LinkMeter, metrics::Metrics, request_body::RequestContent};
 
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -59,7 +57,7 @@
 
 /// A connection that waits for its next request.
 struct IdleConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<RequestContent>,
     overhead: OverheadAllowance,
     task: AbortHandle,
     expires_at: Instant,
@@ -288,14 +286,14 @@
     }
 }
 
-type Connection = http1::Connection<TokioIo<OverheadLimitedStream>, Full<Bytes>>;
+type Connection = http1::Connection<TokioIo<OverheadLimitedStream>, RequestContent>;
 
 /// Opens a connection.
 async fn handshake(
     address: &str,
     overhead: OverheadAllowance,
     meter: Arc<LinkMeter>,
-) -> Result<(http1::SendRequest<Full<Bytes>>, Connection), Box<dyn StdError + Send + Sync>> {
+) -> Result<(http1::SendRequest<RequestContent>, Connection), Box<dyn StdError + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
@@ -317,14 +315,14 @@
 pub(crate) struct PooledConnection {
     start: ServerStart,
     pools: Arc<Mutex<PoolsByStart>>,
-    sender: Option<http1::SendRequest<Full<Bytes>>>,
+    sender: Option<http1::SendRequest<RequestContent>>,
     overhead: OverheadAllowance,
     task: AbortHandle,
 }
 
 impl PooledConnection {
     /// Sends a request and waits for the head of the response.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
+    pub(crate) async fn send(&mut self, request: Request<RequestContent>) -> SendResult {
         let Some(sender) = &mut self.sender else {
             return SendResult::Unwritten;
         };
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -57,6 +57,7 @@
 - [`admission`]: concurrency limiting, queueing and early refusal of requests.
 - [`scarcity`]: who may use the last tokens of a budget.
 - [`balance`]: selection of a backend server.
+- [`body_memory`]: which bodies of requests may use the memory that they share.
 - [`forwarding`]: routing, placement and retry budgets for forwarded requests.
 - [`events`]: framing of server-sent events.
 - [`fair_share`]: fair shares of a short resource between organisations.
@@ -72,6 +73,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod body_memory;
 pub mod config;
 pub mod dedupe;
 pub mod events;
