Count callers' connections and close those of least use

Callers saw: no answer for as long as other clients held idle connections, half heads or refused connections: the router had no descriptor left for new ones, nor for servers and the store.

Cause: the number of callers' connections had no bound but the process's descriptors, and what arrived and was not read none but the system's default buffers, 64 KiB and more each, which count for the process.

Change: connections are counted with their memory, and have a share of it and of the descriptors. When there is no room, one in 32 is closed, in this order: those that wait for their callers to close them; those on which no request or half a head has come for a second; the longest idle; incomplete requests that have stalled (503 `connections-short`). One whose request is complete is never closed; if there are only such, the stream that was unread for longest is broken off. Receive buffers are short, and longer for long bodies while memory suffices; they count while a body arrives or another request waits behind the open one. No read exceeds the first size of the HTTP library's buffer, which would double.

--- /dev/null
+++ b/crates/peridotslip-daemon/tests/clients/connections.rs
@@ -0,0 +1,79 @@
+//! Connections that clients open and hold.
+
+use bytes::Bytes;
+
+use crate::{
+    bodies::ALONE,
+    crowd::{Crowd, Request},
+    edge::server::ServerAction,
+    process::{EdgeProcess, Limits},
+};
+
+/// A VM with few descriptors.
+const FEW_DESCRIPTORS: Limits = Limits {
+    memory_mb: 88,
+    max_fds: 300,
+    body_bytes: 1_000,
+};
+
+/// Clients that each try to hold a connection.
+const CLIENTS: usize = 400;
+
+/// Lets `clients` send `bytes` to a router with `limits` and hold their connections.
+async fn check_held(limits: Limits, clients: usize, bytes: &Bytes) {
+    let _alone = ALONE.lock().await;
+    let mut router = EdgeProcess::start(limits, ServerAction::Respond(200, "fine")).await;
+
+    let crowd = Crowd::send_bytes(&router.callers, clients, bytes).await;
+
+    router.check_ordinary("with-crowd").await;
+    drop(crowd);
+    router.check_ordinary("after-crowd").await;
+    router.check_limits();
+}
+
+/// Guards against idle connections that use up the descriptors.
+#[tokio::test]
+async fn idle_connections_leave_descriptors() {
+    check_held(FEW_DESCRIPTORS, CLIENTS, &Bytes::new()).await;
+}
+
+/// Guards against connections with half a head that use up the descriptors.
+#[tokio::test]
+async fn half_heads_leave_descriptors() {
+    let head = Request::default().head(0);
+    let half = Bytes::from(head[..head.len() / 2].to_owned());
+    check_held(FEW_DESCRIPTORS, CLIENTS, &half).await;
+}
+
+/// Guards against connections that clients don't close after a refusal.
+#[tokio::test]
+async fn refused_connections_leave_descriptors() {
+    let request = Request {
+        key: "no-such-key",
+        length: 1_000,
+        ..Request::default()
+    };
+    let bytes = Bytes::from(request.head(0) + "a part of the body");
+    check_held(FEW_DESCRIPTORS, CLIENTS, &bytes).await;
+}
+
+/// Guards against requests behind one that is open, which stay unread.
+#[tokio::test]
+async fn pipelined_requests_stay_within_memory() {
+    let limits = Limits {
+        memory_mb: 40,
+        max_fds: 1_024,
+        body_bytes: 1_000,
+    };
+    let first = Request {
+        path: "/once/a",
+        ..Request::default()
+    };
+    // The first request stays open, and the others wait behind it.
+    let mut bytes = first.head(0);
+    for number in 1..8_000 {
+        bytes += &Request::default().head(number);
+    }
+    check_held(limits, 160, &bytes.into()).await;
+}
--- a/crates/peridotslip-daemon/tests/clients/main.rs
+++ b/crates/peridotslip-daemon/tests/clients/main.rs
@@ -9,7 +9,7 @@
 mod edge;
 
 mod bodies;
-#[allow(dead_code)] // Not all framings are in use yet.
+mod connections;
 mod crowd;
 #[allow(dead_code)] // Not all addresses are in use yet.
 mod process;
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -22,6 +22,7 @@
 use crate::{
     body::StreamedResponses,
     budgets::{BudgetManager, ReservationGuard},
+    caller_connections::CallerConnections,
     clock::Clock,
     connection_room::ConnectionRanks,
     crash_watch::CrashWatch,
@@ -70,6 +71,7 @@
     pub(crate) vm_shares: VmShares,
     pub(crate) response_memory: MemoryPool,
     pub(crate) request_bodies: Arc<RequestBodies>,
+    pub(crate) caller_connections: Arc<CallerConnections>,
     pub(crate) streamed: Arc<StreamedResponses>,
     pub(crate) placement: Mutex<Placement>,
     /// The permits for cold servers that this router gives out.
@@ -121,6 +123,12 @@
             streamed: Arc::new(StreamedResponses::new(response_memory.clone(), clock)),
             response_memory,
             request_bodies: RequestBodies::new(vm_shares.request_bodies, clock),
+            caller_connections: CallerConnections::new(
+                vm_shares.caller_sockets,
+                vm_shares.connections,
+                clock,
+                metrics.clone(),
+            ),
             vm_shares,
             settings: Mutex::new(Arc::new(settings)),
             platform,
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod body;
 mod budgets;
+mod caller_connections;
 mod clock;
 mod connection_room;
 mod context;
--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use peridotslip::held_connections::ConnectionPhase;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -24,7 +25,11 @@
     time::{Instant, Sleep},
 };
 
-use crate::{context::OpenRequestGuard, local_health::LinkMeter};
+use crate::{
+    caller_connections::{CallerConnection, LONG_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES},
+    context::OpenRequestGuard,
+    local_health::LinkMeter,
+};
 
 /// Longest time for which the rest of a request is discarded after its response, in
 /// milliseconds.
@@ -35,6 +40,14 @@
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// Response to a head whose connection gives way to others. The request has not run.
+const CONNECTIONS_SHORT: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
+
+/// Most bytes that are read at a time. The buffer of the HTTP library doubles for each
+/// read that fills it, and this is less than its first size.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Response to a head that exceeds the size limit. The request has not run.
 const HEAD_TOO_LONG: &[u8] =
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -129,12 +142,16 @@
     limits: Arc<dyn ConnectionLimits>,
     sequence: RequestSequence,
     meter: Arc<LinkMeter>,
+    connection: CallerConnection,
     awaited: Awaited,
     /// The sequence at which the wait began. It changes at the end of the head.
     awaited_at: u64,
     /// Bytes of the current head that have been read.
     head_bytes: usize,
     since: Instant,
+    /// Bytes of the current request that have been read after its head's beginning.
+    request_bytes: usize,
+    has_long_buffer: bool,
     /// Expires at the time limit of the wait.
     timer: Pin<Box<Sleep>>,
     /// Set when the connection ends before all that the caller sends has been read.
@@ -147,6 +164,7 @@
         limits: Arc<dyn ConnectionLimits>,
         sequence: RequestSequence,
         meter: Arc<LinkMeter>,
+        connection: CallerConnection,
     ) -> Self {
         let timer = Box::pin(tokio::time::sleep(limits.idle()));
         Self {
@@ -156,7 +174,10 @@
             awaited_at: sequence.get(),
             sequence,
             meter,
+            connection,
             head_bytes: 0,
+            request_bytes: 0,
+            has_long_buffer: false,
             since: Instant::now(),
             timer,
             discard_until: None,
@@ -173,6 +194,11 @@
     fn begin_wait(&mut self, awaited: Awaited) {
         self.awaited = awaited;
         self.head_bytes = 0;
+        self.request_bytes = 0;
+        self.connection.set_phase(match awaited {
+            Awaited::Request => ConnectionPhase::Idle,
+            Awaited::RestOfHead => ConnectionPhase::Head,
+        });
         self.since = Instant::now();
         let until = self.since + self.limit();
         self.timer.as_mut().reset(until);
@@ -217,6 +243,9 @@
     /// the response.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut chunk = [0; DISCARD_CHUNK_BYTES];
+        if self.connection.poll_gives_way(cx) {
+            return Poll::Ready(Ok(()));
+        }
         while self
             .discard_until
             .is_some_and(|until| Instant::now() < until)
@@ -233,6 +262,45 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Returns whether the connection, which waits for a request, is closed in favour of
+    /// others. Responds to a head that has begun.
+    fn gives_way(&self, cx: &Context<'_>) -> bool {
+        if !self.is_waiting() || !self.connection.poll_gives_way(cx) || self.has_unread_bytes() {
+            return false;
+        }
+        if self.awaited == Awaited::RestOfHead {
+            let written = self.stream.try_write(CONNECTIONS_SHORT);
+            log::debug!(answered = written.is_ok(); "connections are short; giving up a request head");
+        }
+        true
+    }
+
+    /// Reads at most [`MAX_READ_BYTES`].
+    fn poll_read_some(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let most = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buf.advance(read);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Lengthens the receive buffer for a long request.
+    fn lengthen_receive_buffer(&mut self) {
+        self.has_long_buffer = self.connection.lengthen_receive_buffer();
+        if !self.has_long_buffer {
+            return;
+        }
+        let socket = SockRef::from(&self.stream);
+        if let Err(err) = socket.set_recv_buffer_size(LONG_RECEIVE_BUFFER_BYTES) {
+            log::debug!("can't lengthen the receive buffer of a caller's connection: {err}");
+        }
+    }
+
     /// Responds to the head that is late, if one has begun.
     fn record_expiry(&self) {
         match self.awaited {
@@ -261,7 +329,10 @@
         }
         // Bytes may be read later than they arrived, so the limit applies only when
         // none are left.
-        let read = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let read = this.poll_read_some(cx, buf);
+        if read.is_pending() && this.gives_way(cx) {
+            return Poll::Ready(Ok(()));
+        }
         if read.is_pending() && this.poll_limit(cx).is_ready() && !this.has_unread_bytes() {
             this.record_expiry();
             // The HTTP library treats an empty read as the end of the connection.
@@ -276,8 +347,17 @@
         if head_begins && this.is_waiting() && this.awaited == Awaited::Request {
             this.begin_wait(Awaited::RestOfHead);
         }
+        let received = buf.filled().len() - before;
         if this.awaited == Awaited::RestOfHead {
-            this.head_bytes += buf.filled().len() - before;
+            if this.is_waiting() {
+                this.head_bytes += received;
+            }
+            this.request_bytes += received;
+            this.connection
+                .record_received(this.head_bytes, this.request_bytes);
+        }
+        if this.request_bytes > RECEIVE_BUFFER_BYTES && !this.has_long_buffer {
+            this.lengthen_receive_buffer();
         }
         Poll::Ready(Ok(()))
     }
@@ -323,6 +403,7 @@
             let until = Instant::now() + Duration::from_millis(DISCARD_TIMEOUT_MS);
             this.timer.as_mut().reset(until);
             this.discard_until = Some(until);
+            this.connection.set_phase(ConnectionPhase::Closing);
         }
         this.poll_discard(cx)
     }
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -2,6 +2,8 @@
 
 use std::{
     convert::Infallible,
+    io,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,13 +17,15 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use peridotslip::held_connections::ConnectionPhase;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
 };
 
 use crate::{
     body::{Body, GuardedBody, full},
+    caller_connections::{CallerConnection, RECEIVE_BUFFER_BYTES},
     context::{OpenRequestGuard, Rejection, RequestContext, Result, SharedState},
     dispatch,
     filters::{Chain, match_route},
@@ -33,6 +37,8 @@
 
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
+/// Most connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
 /// Smallest buffer of a connection, in bytes. A table that becomes active later may
 /// allow heads up to this size.
 const MIN_BUFFER_BYTES: usize = 64 * 1024;
@@ -44,6 +50,27 @@
 /// Longest wait for such a body, in milliseconds.
 const DISCARD_TIMEOUT_MS: u64 = 2_000;
 
+/// Listens for callers at `address`.
+///
+/// # Errors
+///
+/// An I/O error if the address can't be listened on.
+pub(crate) fn listen_for_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Connections inherit the buffer's length.
+    let length = u32::try_from(RECEIVE_BUFFER_BYTES).unwrap_or(u32::MAX);
+    if let Err(err) = socket.set_recv_buffer_size(length) {
+        log::warn!("can't bound the receive buffers of callers' connections: {err}");
+    }
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Serves callers until `stop` is true. Open requests may complete after that.
 pub(crate) async fn serve_callers(
     listener: TcpListener,
@@ -58,17 +85,36 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let Some(connection) = admit_connection(&shared).await else {
+                    continue;
+                };
                 let (shared, chain) = (shared.clone(), chain.clone());
-                tokio::spawn(serve_connection(stream, shared, chain, stop.clone()));
+                let served = serve_connection(stream, connection, shared, chain, stop.clone());
+                tokio::spawn(served);
             }
             Err(err) => {
                 log::warn!("can't accept a caller's connection; retrying: {err}");
+                shared.caller_connections.make_room();
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
     }
 }
 
+/// Admits a new connection. If all others wait for responses, breaks off the stream that
+/// has not been read for longest.
+async fn admit_connection(shared: &SharedState) -> Option<CallerConnection> {
+    let connections = &shared.caller_connections;
+    let mut admitted = connections.admit().await;
+    if admitted.is_none() && shared.streamed.free_memory() {
+        admitted = connections.admit().await;
+    }
+    if admitted.is_none() {
+        connections.record_refused();
+    }
+    admitted
+}
+
 /// Waits until `stop` is true or its sender is dropped.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     if stop.wait_for(|stop| *stop).await.is_err() {
@@ -79,6 +125,7 @@
 /// Serves the requests of one caller's connection.
 async fn serve_connection(
     stream: TcpStream,
+    connection: CallerConnection,
     shared: Arc<SharedState>,
     chain: Arc<Chain>,
     mut stop: watch::Receiver<bool>,
@@ -89,13 +136,26 @@
     let max_header_bytes = shared.index().table().limits.max_header_bytes;
     let sequence = RequestSequence::default();
     let meter = shared.health.meter.clone();
-    let stream = LimitedStream::new(stream, shared.clone(), sequence.clone(), meter);
+    let stream = LimitedStream::new(
+        stream,
+        shared.clone(),
+        sequence.clone(),
+        meter,
+        connection.clone(),
+    );
     let service = service_fn(move |request| {
-        let (shared, chain) = (shared.clone(), chain.clone());
+        let (shared, chain, connection) = (shared.clone(), chain.clone(), connection.clone());
         let open_guard = OpenRequestGuard::new(&shared);
         let mut active_guard = sequence.begin(open_guard.clone());
         async move {
-            let handled = handle_request(shared, chain, request, open_guard, &mut active_guard);
+            let handled = handle_request(
+                shared,
+                chain,
+                request,
+                &connection,
+                open_guard,
+                &mut active_guard,
+            );
             let response = handled.await;
             let guarded = response.map(|body| GuardedBody::new(body, active_guard));
             Ok::<_, Infallible>(guarded)
@@ -127,6 +187,7 @@
     shared: Arc<SharedState>,
     chain: Arc<Chain>,
     request: Request<Incoming>,
+    connection: &CallerConnection,
     open_guard: OpenRequestGuard,
     active_guard: &mut RequestActiveGuard,
 ) -> Response<Body> {
@@ -153,7 +214,9 @@
     };
     let id = cx.id().to_owned();
     let version = cx.index.version();
-    let received = receive(&mut cx, body).await;
+    connection.set_phase(ConnectionPhase::Body);
+    let received = receive(&mut cx, connection, body).await;
+    connection.set_complete(request_length(&cx));
     let must_close = received.is_err();
     let filtered = match received {
         Ok(Ok(())) => chain.apply(&mut cx).await,
@@ -207,17 +270,30 @@
 ///
 /// A [`Rejection`] after which the connection must be closed, because the body has not
 /// been read.
-async fn receive(cx: &mut RequestContext, body: Incoming) -> Result<Result<()>> {
+async fn receive(
+    cx: &mut RequestContext,
+    connection: &CallerConnection,
+    body: Incoming,
+) -> Result<Result<()>> {
     check_head(cx)?;
     if let Err(rejection) = match_route(cx) {
-        return if discard_short(cx, body).await {
+        connection.set_phase(ConnectionPhase::Closing);
+        let discarded = tokio::select! {
+            discarded = discard_short(cx, body) => discarded,
+            () = connection.wait_gave_way() => false,
+        };
+        return if discarded {
             Ok(Err(rejection))
         } else {
             Err(rejection)
         };
     }
     cx.link_ticket = link_gate::admit(cx)?;
-    read_body(cx, body).await.map(Ok)
+    let shared = cx.shared.clone();
+    tokio::select! {
+        read = read_body(cx, body) => read.map(Ok),
+        () = connection.wait_gave_way() => Err(short(&shared, RejectionReason::ConnectionsShort)),
+    }
 }
 
 /// Rejects a request whose head is longer than the limit: if its end arrived with its
@@ -248,6 +324,18 @@
     headers.sum()
 }
 
+/// Returns the length of a request whose body has been read, in bytes; `None` if its
+/// framing takes part of it.
+fn request_length(cx: &RequestContext) -> Option<usize> {
+    if cx.headers.contains_key(header::TRANSFER_ENCODING) {
+        return None;
+    }
+    let target = cx.uri.path_and_query();
+    let request_line = format!("{} {} HTTP/1.1\r\n", cx.method, target?);
+    let body_length = cx.declared_length().unwrap_or(0);
+    Some(request_line.len() + headers_length(cx) + "\r\n".len() + body_length)
+}
+
 /// Discards the body of a request that is rejected, if the body is short. Returns whether
 /// all of it was read.
 async fn discard_short(cx: &RequestContext, mut body: Incoming) -> bool {
--- a/crates/peridotslip-edge/src/metrics.rs
+++ b/crates/peridotslip-edge/src/metrics.rs
@@ -33,6 +33,8 @@
     store_failures: Counter<u64>,
     origin_records: Counter<u64>,
     connections: Counter<u64>,
+    closed_connections: Counter<u64>,
+    refused_connections: Counter<u64>,
     evacuated_data_centres: Gauge<u64>,
     first_byte: Histogram<f64>,
     reserve_wait: Histogram<f64>,
@@ -72,6 +74,8 @@
             store_failures: meter.u64_counter("store_failures").build(),
             origin_records: meter.u64_counter("origin_records").build(),
             connections: meter.u64_counter("server_connections").build(),
+            closed_connections: meter.u64_counter("closed_connections").build(),
+            refused_connections: meter.u64_counter("refused_connections").build(),
             evacuated_data_centres: meter.u64_gauge("evacuated_data_centres").build(),
             first_byte: latency("first_byte_seconds"),
             engine_rate: meter.f64_gauge("engine_tokens_per_ms").build(),
@@ -146,6 +150,17 @@
         self.connections.add(1, &[]);
     }
 
+    /// Records callers' connections that are closed because others need their room.
+    pub(crate) fn record_closed_connections(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.closed_connections.add(count, &[]);
+    }
+
+    /// Records a connection that was closed at once because all others are in use.
+    pub(crate) fn record_refused_connection(&self) {
+        self.refused_connections.add(1, &[]);
+    }
+
     pub(crate) fn set_evacuated_data_centres(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
         self.evacuated_data_centres.record(count, &[]);
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -29,6 +29,8 @@
     Overloaded,
     /// The router has no memory for the body.
     MemoryShort,
+    /// The router has no room for the connection of the incomplete request.
+    ConnectionsShort,
     /// No server of the service accepts requests.
     NoServer,
     /// All servers that could run the request are in evacuated data centres.
@@ -80,6 +82,7 @@
             Self::TokensShort => "tokens-short",
             Self::Overloaded => "overloaded",
             Self::MemoryShort => "memory-short",
+            Self::ConnectionsShort => "connections-short",
             Self::NoServer => "no-server",
             Self::Evacuated => "evacuated",
             Self::NoHomeRegion => "no-home-region",
@@ -112,6 +115,7 @@
             | Self::TokensShort
             | Self::Overloaded
             | Self::MemoryShort
+            | Self::ConnectionsShort
             | Self::NoServer
             | Self::Evacuated
             | Self::NoHomeRegion
--- a/crates/peridotslip/src/lib.rs
+++ b/crates/peridotslip/src/lib.rs
@@ -61,6 +61,7 @@
 - [`forwarding`]: routing, placement and retry budgets for forwarded requests.
 - [`events`]: framing of server-sent events.
 - [`fair_share`]: fair shares of a short resource between organisations.
+- [`held_connections`]: which callers' connections are closed when they are short.
 - [`link_admission`]: admission of requests by the bytes that they move over a link.
 - [`local_slowness`]: whether a router is too slow itself to tell which servers are.
 - [`memory`]: a bound on the memory of buffers that requests share.
@@ -79,6 +80,7 @@
 pub mod events;
 pub mod fair_share;
 pub mod forwarding;
+pub mod held_connections;
 pub mod ids;
 pub mod ledger;
 pub mod link_admission;
