Bound the connections to ports that are not for callers

Callers saw: 503 while clients held connections to the port for checks or to that for peers: the router had no descriptor left for connections to servers.

Cause: these ports accepted connections without a bound.

Change: each port has a share of the descriptors. Beyond it the connection is closed that was not used for longest, first among those that never were. Heads of calls are limited to 16 KiB, and calls to 1,024 at a time on a connection.

--- a/crates/peridotslip-daemon/tests/clients/connections.rs
+++ b/crates/peridotslip-daemon/tests/clients/connections.rs
@@ -77,3 +77,32 @@
     }
     check_held(limits, 160, &bytes.into()).await;
 }
+
+/// Guards against connections to the port for readiness checks that use up the
+/// descriptors.
+#[tokio::test]
+async fn connections_for_checks_leave_descriptors() {
+    check_port(|router| &router.ready).await;
+}
+
+/// Guards against connections to the port for other routers that use up the
+/// descriptors.
+#[tokio::test]
+async fn connections_for_peers_leave_descriptors() {
+    check_port(|router| &router.peers).await;
+}
+
+/// Lets clients hold connections to a port that is not for callers.
+async fn check_port(port: impl Fn(&EdgeProcess) -> &str) {
+    let _alone = ALONE.lock().await;
+    let action = ServerAction::Respond(200, "fine");
+    let mut router = EdgeProcess::start(FEW_DESCRIPTORS, action).await;
+
+    let crowd = Crowd::send_bytes(port(&router), CLIENTS, &Bytes::new()).await;
+
+    router.check_ordinary("with-crowd").await;
+    assert!(router.is_ready().await);
+    drop(crowd);
+    router.check_ordinary("after-crowd").await;
+    router.check_limits();
+}
--- a/crates/peridotslip-daemon/tests/clients/main.rs
+++ b/crates/peridotslip-daemon/tests/clients/main.rs
@@ -11,5 +11,4 @@
 mod bodies;
 mod connections;
 mod crowd;
-#[allow(dead_code)] // Not all addresses are in use yet.
 mod process;
--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod origin_store;
 mod peer_state;
 mod peers;
+mod port_connections;
 pub mod ports;
 mod reason;
 mod registry;
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -31,6 +31,7 @@
     filters::{Chain, match_route},
     limited_stream::{LimitedStream, RequestActiveGuard, RequestSequence},
     link_gate,
+    port_connections::PortConnections,
     reason::RejectionReason,
     request_body::{IncomingBody, RequestContent},
 };
@@ -442,6 +443,7 @@
 /// path.
 pub(crate) async fn serve_status(
     listener: TcpListener,
+    connections: PortConnections,
     respond: impl Fn(&str) -> Response<Bytes> + Clone + Send + 'static,
 ) {
     loop {
@@ -450,13 +452,15 @@
             continue;
         };
         let respond = respond.clone();
-        tokio::spawn(async move {
+        connections.spawn(|last_use| async move {
             let service = service_fn(move |request: Request<Incoming>| {
+                last_use.record();
                 let response = respond(request.uri().path()).map(Full::new);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
+                .max_buf_size(MIN_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(err) = connection.await {
                 log::debug!("a connection for checks or metrics failed: {err}");
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -18,6 +18,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::port_connections::{LastUse, PortConnections};
+
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// Longest message, in bytes.
@@ -25,6 +27,10 @@
 /// Most memory that the strings and lists of a message may ask for while it is decoded, in
 /// bytes. A number counts with its full size, of which a message may have an eighth.
 const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES;
+/// Most calls at the same time on one connection of a peer.
+const MAX_CONCURRENT_CALLS: u32 = 1_024;
+/// Longest head of a call, in bytes.
+const MAX_HEADER_BYTES: u32 = 16 * 1024;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
 
@@ -184,16 +190,19 @@
 /// Serves peers' requests with `handler` until the process ends.
 pub(crate) async fn serve<Q, A, F>(
     listener: TcpListener,
+    limit: usize,
     handler: impl Fn(Q) -> F + Clone + Send + 'static,
 ) where
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Send + 'static,
     F: Future<Output = A> + Send + 'static,
 {
+    let connections = PortConnections::new("peers", limit);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, handler.clone()));
+                let handler = handler.clone();
+                connections.spawn(|last_use| serve_connection(stream, last_use, handler));
             }
             Err(err) => {
                 log::warn!("can't accept a peer's connection; retrying: {err}");
@@ -205,6 +214,7 @@
 
 async fn serve_connection<Q, A, F>(
     stream: TcpStream,
+    last_use: LastUse,
     handler: impl Fn(Q) -> F + Clone + Send + 'static,
 ) where
     Q: DeserializeOwned + Send + 'static,
@@ -214,10 +224,15 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("can't set TCP_NODELAY on a peer's connection: {err}");
     }
-    let Ok(mut connection) = h2::server::handshake(stream).await else {
+    let handshake = h2::server::Builder::new()
+        .max_concurrent_streams(MAX_CONCURRENT_CALLS)
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .handshake(stream);
+    let Ok(mut connection) = handshake.await else {
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
+        last_use.record();
         tokio::spawn(serve_stream(request, respond, handler.clone()));
     }
 }
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -38,6 +38,7 @@
     metrics::Metrics,
     origin_store, peer_state,
     peers::{PROTOCOL, Peers, RouterInstance, VmProfile},
+    port_connections::PortConnections,
     ports::Platform,
     rpc, server_limits, server_versions,
     settings::{Money, Settings},
@@ -154,12 +155,13 @@
         tokio::spawn(server_versions::register_versions(shared.clone()));
         tokio::spawn(origin_store::hand_over_records(shared.clone()));
         tokio::spawn(origin_store::write_records(shared.clone()));
-        tokio::spawn(rpc::serve(peer_listener, {
+        tokio::spawn(rpc::serve(peer_listener, shared.vm_shares.peer_sockets, {
             let shared = shared.clone();
             move |request| handle_peer_request(shared.clone(), request)
         }));
         tokio::spawn(peers.probe_unreachable(PeerRequest::Probe));
-        tokio::spawn(listeners::serve_status(ready, {
+        let status = PortConnections::new("checks", shared.vm_shares.status_sockets);
+        tokio::spawn(listeners::serve_status(ready, status, {
             let shared = shared.clone();
             move |path| listeners::readiness(&shared, path)
         }));
@@ -183,14 +185,19 @@
 async fn serve_metrics(address: &str, shared: &Arc<SharedState>) -> Result<(), Error> {
     let listener = TcpListener::bind(address).await?;
     let metrics = shared.metrics.clone();
-    tokio::spawn(listeners::serve_status(listener, move |path| {
-        if path == "/metrics" {
-            return metrics.scrape();
-        }
-        let mut response = Response::new(Bytes::new());
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        response
-    }));
+    let connections = PortConnections::new("metrics", shared.vm_shares.status_sockets);
+    tokio::spawn(listeners::serve_status(
+        listener,
+        connections,
+        move |path| {
+            if path == "/metrics" {
+                return metrics.scrape();
+            }
+            let mut response = Response::new(Bytes::new());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        },
+    ));
     Ok(())
 }
 
