Bound the memory of messages that arrive from peers

Callers saw: their connections reset when the router ended for its memory.

Cause: each message may have 4 MiB; their number had no bound, nor had the time in which one arrives.

--- a/crates/peridotslip-daemon/tests/clients/connections.rs
+++ b/crates/peridotslip-daemon/tests/clients/connections.rs
@@ -1,10 +1,11 @@
 //! Connections that clients open and hold.
 
 use bytes::Bytes;
+use futures::future::join_all;
 
 use crate::{
     bodies::ALONE,
-    crowd::{Crowd, Request},
+    crowd::{Crowd, Request, STALL},
     edge::server::ServerAction,
     process::{EdgeProcess, Limits},
 };
@@ -106,3 +107,51 @@
     router.check_ordinary("after-crowd").await;
     router.check_limits();
 }
+
+/// Connections that send long messages to the port for other routers.
+const PEERS: usize = 40;
+/// Length of a message, in bytes. A router accepts no longer one than 4 MiB.
+const MESSAGE_BYTES: usize = 4 << 20;
+
+/// Sends all but the end of a message on a new connection, and returns the stream.
+async fn send_message(address: &str) -> Option<h2::SendStream<Bytes>> {
+    let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = h2::client::handshake(stream).await.ok()?;
+    tokio::spawn(connection);
+    let request = http::Request::post("http://router/").body(()).ok()?;
+    let (_response, mut stream) = sender
+        .ready()
+        .await
+        .ok()?
+        .send_request(request, false)
+        .ok()?;
+    let mut unsent = MESSAGE_BYTES - 1;
+    while unsent > 0 {
+        stream.reserve_capacity(unsent);
+        let granted = std::future::poll_fn(|cx| stream.poll_capacity(cx));
+        let granted = tokio::time::timeout(STALL, granted).await.ok()??.ok()?;
+        let piece = Bytes::from(vec![b'x'; granted.min(unsent)]);
+        unsent -= piece.len();
+        stream.send_data(piece, false).ok()?;
+    }
+    Some(stream)
+}
+
+/// Guards against messages of the longest permitted length that fill the memory.
+#[tokio::test]
+async fn long_messages_to_peers_stay_within_memory() {
+    let _alone = ALONE.lock().await;
+    let limits = Limits {
+        max_fds: 1_024,
+        ..FEW_DESCRIPTORS
+    };
+    let mut router = EdgeProcess::start(limits, ServerAction::Respond(200, "fine")).await;
+
+    let sent = (0..PEERS).map(|_| send_message(&router.peers));
+    let crowd = join_all(sent).await;
+
+    router.check_ordinary("with-crowd").await;
+    drop(crowd);
+    router.check_ordinary("after-crowd").await;
+    router.check_limits();
+}
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use h2::{RecvStream, client::SendRequest, server::SendResponse};
 use http::{Request, Response};
+use peridotslip::memory::{MemoryPool, PooledBuffer, PooledContent};
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +32,8 @@
 const MAX_CONCURRENT_CALLS: u32 = 1_024;
 /// Longest head of a call, in bytes.
 const MAX_HEADER_BYTES: u32 = 16 * 1024;
+/// Longest time in which a message arrives, in milliseconds.
+const MESSAGE_TIMEOUT_MS: u64 = 10_000;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
 
@@ -142,8 +145,9 @@
         let (response, mut stream) = ready.send_request(request, false).map_err(|_| broken())?;
         stream.send_data(body, true).map_err(|_| broken())?;
         let body = response.await.map_err(|_| broken())?.into_body();
-        let buf = read_message(body).await.ok_or_else(broken)?;
-        decode(&buf).ok_or_else(broken)
+        let pool = MemoryPool::new(2 * MAX_MESSAGE_BYTES);
+        let buf = read_message(body, &pool).await.ok_or_else(broken)?;
+        decode(buf.as_ref()).ok_or_else(broken)
     }
 
     async fn connection(&self, address: &str) -> Result<SendRequest<Bytes>> {
@@ -172,37 +176,43 @@
     Some(sender)
 }
 
-/// Reads a complete message. Returns `None` if the stream fails or the message
-/// is longer than [`MAX_MESSAGE_BYTES`].
-async fn read_message(mut stream: RecvStream) -> Option<Vec<u8>> {
-    let mut buf = Vec::new();
+/// Reads a complete message. Returns `None` if the stream fails, the message is longer
+/// than [`MAX_MESSAGE_BYTES`] or `pool` has no memory for it.
+async fn read_message(mut stream: RecvStream, pool: &MemoryPool) -> Option<PooledContent> {
+    let mut buf = PooledBuffer::new(pool, MAX_MESSAGE_BYTES);
     while let Some(chunk) = stream.data().await {
         let chunk = chunk.ok()?;
         stream.flow_control().release_capacity(chunk.len()).ok()?;
-        buf.extend_from_slice(&chunk);
-        if buf.len() > MAX_MESSAGE_BYTES {
-            return None;
-        }
+        buf.append(&chunk).ok()?;
     }
-    Some(buf)
+    Some(buf.finish())
+}
+
+/// What peers can make a router hold.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerLimits {
+    /// Most connections.
+    pub(crate) connections: usize,
+    /// Memory for messages that are being received.
+    pub(crate) messages: MemoryPool,
 }
 
 /// Serves peers' requests with `handler` until the process ends.
 pub(crate) async fn serve<Q, A, F>(
     listener: TcpListener,
-    limit: usize,
+    limits: ServerLimits,
     handler: impl Fn(Q) -> F + Clone + Send + 'static,
 ) where
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Send + 'static,
     F: Future<Output = A> + Send + 'static,
 {
-    let connections = PortConnections::new("peers", limit);
+    let connections = PortConnections::new("peers", limits.connections);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
-                connections.spawn(|last_use| serve_connection(stream, last_use, handler));
+                let (messages, handler) = (limits.messages.clone(), handler.clone());
+                connections.spawn(|last_use| serve_connection(stream, last_use, messages, handler));
             }
             Err(err) => {
                 log::warn!("can't accept a peer's connection; retrying: {err}");
@@ -215,6 +225,7 @@
 async fn serve_connection<Q, A, F>(
     stream: TcpStream,
     last_use: LastUse,
+    messages: MemoryPool,
     handler: impl Fn(Q) -> F + Clone + Send + 'static,
 ) where
     Q: DeserializeOwned + Send + 'static,
@@ -233,13 +244,15 @@
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
         last_use.record();
-        tokio::spawn(serve_stream(request, respond, handler.clone()));
+        let serving = serve_stream(request, respond, messages.clone(), handler.clone());
+        tokio::spawn(serving);
     }
 }
 
 async fn serve_stream<Q, A, F>(
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
+    messages: MemoryPool,
     handler: impl Fn(Q) -> F,
 ) -> Option<()>
 where
@@ -247,7 +260,9 @@
     A: Serialize,
     F: Future<Output = A>,
 {
-    let message = decode(&read_message(request.into_body()).await?)?;
+    let timeout = Duration::from_millis(MESSAGE_TIMEOUT_MS);
+    let received = tokio::time::timeout(timeout, read_message(request.into_body(), &messages));
+    let message = decode(received.await.ok()??.as_ref())?;
     let body = encode(&handler(message).await)?;
     let mut stream = respond.send_response(Response::new(()), false).ok()?;
     stream.send_data(body, true).ok()
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -15,6 +15,7 @@
     },
     ids::Incarnation,
     ledger::GrantTransfer,
+    memory::MemoryPool,
 };
 use tokio::{
     net::TcpListener,
@@ -155,7 +156,11 @@
         tokio::spawn(server_versions::register_versions(shared.clone()));
         tokio::spawn(origin_store::hand_over_records(shared.clone()));
         tokio::spawn(origin_store::write_records(shared.clone()));
-        tokio::spawn(rpc::serve(peer_listener, shared.vm_shares.peer_sockets, {
+        let peer_limits = rpc::ServerLimits {
+            connections: shared.vm_shares.peer_sockets,
+            messages: MemoryPool::new(shared.vm_shares.peer_messages),
+        };
+        tokio::spawn(rpc::serve(peer_listener, peer_limits, {
             let shared = shared.clone();
             move |request| handle_peer_request(shared.clone(), request)
         }));
