Bound the memory of bodies at the own interface

Callers saw: their connections reset when the router ended for its memory.

Cause: as at the edge router, bodies were collected as they arrived and not counted. The time limit for a body, 30 s, bounds each, not their sum.

Change: bodies are copied into buffers of a shared memory, 16 MiB or twice the longest body. 503 `memory-short` with `Retry-After`, not run, beyond it.

--- a/crates/peridotslip-daemon/src/context.rs
+++ b/crates/peridotslip-daemon/src/context.rs
@@ -42,6 +42,8 @@
     pub(crate) controllers: Controllers,
     /// Memory for the bodies that are being received from backend servers.
     pub(crate) response_memory: MemoryPool,
+    /// Memory for the bodies that are being received from callers.
+    pub(crate) request_memory: MemoryPool,
 }
 
 /// A caller's request with its whole body.
--- a/crates/peridotslip-daemon/src/server.rs
+++ b/crates/peridotslip-daemon/src/server.rs
@@ -15,13 +15,16 @@
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
     routing::get,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
     service::TowerToHyperService,
 };
-use peridotslip::prelude::*;
+use peridotslip::{
+    memory::{AppendError, PooledBuffer, PooledContent},
+    prelude::*,
+};
 use serde_json::json;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
@@ -39,6 +42,8 @@
 const MAX_CONCURRENT_STREAMS: u32 = 1_024;
 /// `Retry-After` while the router has no tables, in seconds.
 const NOT_CONFIGURED_RETRY_S: u64 = 1;
+/// `Retry-After` while the router has no memory for a body, in seconds.
+const MEMORY_SHORT_RETRY_S: u64 = 1;
 
 /// Progress of a graceful shutdown.
 #[derive(Debug, Default)]
@@ -108,17 +113,30 @@
     crate::filters::check_api_key(cx)?;
     let limits = &cx.shared.settings.limits;
     let timeout = Duration::from_millis(limits.body_timeout_ms);
-    let read = Limited::new(body, limits.max_body_bytes).collect();
-    match tokio::time::timeout(timeout, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(Rejection::not_run(Refusal::BodyTooLarge))
-        }
-        Ok(Err(_)) => Err(Rejection::not_run(Refusal::MalformedBody)),
+    let buf = PooledBuffer::new(&cx.shared.request_memory, limits.max_body_bytes);
+    match tokio::time::timeout(timeout, read_content(body, buf)).await {
+        Ok(content) => Ok(bytes::Bytes::from_owner(content?)),
         Err(_) => Err(Rejection::not_run(Refusal::BodyTimeout)),
     }
 }
 
+/// Copies the content out of the connection's buffers, which may be many times as large.
+async fn read_content(mut body: Body, mut buf: PooledBuffer) -> Result<PooledContent> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Rejection::not_run(Refusal::MalformedBody))?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        buf.append(data).map_err(|err| match err {
+            AppendError::TooLong(_) => Rejection::not_run(Refusal::BodyTooLarge),
+            AppendError::OutOfMemory(_) => {
+                Rejection::not_run(Refusal::MemoryShort).retry_after(MEMORY_SHORT_RETRY_S)
+            }
+        })?;
+    }
+    Ok(buf.finish())
+}
+
 async fn respond(reader: ResponseReader, id: &str) -> Response<Body> {
     let head = match reader.head().await {
         Ok(head) => head,
--- a/crates/peridotslip-daemon/src/start.rs
+++ b/crates/peridotslip-daemon/src/start.rs
@@ -43,9 +43,9 @@
 /// Maximum wait for the ledger's last exchanges at a graceful shutdown.
 const LEDGER_CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Least memory for the bodies that are being received from backend servers, in
-/// bytes.
-const MIN_RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+/// Least memory for the bodies that are being received from callers, and for those that
+/// are being received from backend servers, in bytes.
+const MIN_BODY_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Runs a router until SIGTERM or SIGINT.
 ///
@@ -68,12 +68,19 @@
         Duration::from_millis(settings.store.timeout_ms),
     )?);
     let controllers = spawn_controllers(&settings, &store, &metrics)?;
-    let memory_bytes = MIN_RESPONSE_MEMORY_BYTES.max(2 * settings.limits.max_answer_bytes);
+    let limits = &settings.limits;
+    // A buffer may hold at most as much as stays free.
+    let memory_for = |longest: usize| MemoryPool::new(MIN_BODY_MEMORY_BYTES.max(2 * longest));
+    let (request_memory, response_memory) = (
+        memory_for(limits.max_body_bytes),
+        memory_for(limits.max_answer_bytes),
+    );
     let shared = Arc::new(SharedState {
         settings,
         metrics,
         controllers,
-        response_memory: MemoryPool::new(memory_bytes),
+        response_memory,
+        request_memory,
     });
     spawn_background_tasks(&shared, store)?;
     let shutdown = Arc::new(ShutdownState::default());
--- a/crates/peridotslip-daemon/tests/clients/main.rs
+++ b/crates/peridotslip-daemon/tests/clients/main.rs
@@ -11,4 +11,5 @@
 mod bodies;
 mod connections;
 mod crowd;
+mod own_interface;
 mod process;
--- a/crates/peridotslip/src/refusal.rs
+++ b/crates/peridotslip/src/refusal.rs
@@ -71,6 +71,8 @@
     BodyTooLarge => "body-too-large", 413, "Send a smaller body; the limit is in the daemon's settings.";
     /// The body was not complete before the timeout.
     BodyTimeout => "body-timeout", 408, "Send the whole body sooner after the headers.";
+    /// The router has no memory for the body.
+    MemoryShort => "memory-short", 503, "Retry after the given time; the router is short of memory for bodies.";
     /// `max_tokens` is missing or out of range.
     MaxTokens => "max-tokens", 400, "Set `max_tokens` to a whole number from 1 to the limit.";
     /// No route of this organisation matches.
