Wake an idle connection that gives way

A new caller got no answer while many others held connections that had carried a request.

Cause: a connection leaves its waker when it waits for a request's head. One whose first request arrived at once never had, so it was chosen to be closed, was never woken, and held the place of others that could have been.

Ruled out: the choice of connections; `select_closed` returns idle ones (tests/held_connections.rs).

Change: the waker is also left when a response has been sent and the connection becomes idle.

--- a/crates/peridotslip-daemon/tests/clients/connections.rs
+++ b/crates/peridotslip-daemon/tests/clients/connections.rs
@@ -39,6 +39,13 @@
     check_held(FEW_DESCRIPTORS, CLIENTS, &Bytes::new()).await;
 }
 
+/// Guards against connections that have carried a request and use up the descriptors.
+#[tokio::test]
+async fn used_connections_leave_descriptors() {
+    let request = Bytes::from(Request::default().head(0));
+    check_held(FEW_DESCRIPTORS, CLIENTS, &request).await;
+}
+
 /// Guards against connections with half a head that use up the descriptors.
 #[tokio::test]
 async fn half_heads_leave_descriptors() {
--- a/crates/peridotslip-edge/src/limited_stream.rs
+++ b/crates/peridotslip-edge/src/limited_stream.rs
@@ -384,8 +384,10 @@
             // The caller has got the complete response.
             this.awaited_at = sequence;
             this.begin_wait(Awaited::Request);
-            // The HTTP library may not read again before the timer wakes it.
-            if this.poll_limit(cx).is_ready() {
+            // The HTTP library may not read again before it is woken: by the timer, or
+            // because the connection gives way.
+            let gives_way = this.connection.poll_gives_way(cx);
+            if this.poll_limit(cx).is_ready() || gives_way {
                 cx.waker().wake_by_ref();
             }
         }
