--- a/crates/peridotslip-daemon/tests/common/fleet.rs
+++ b/crates/peridotslip-daemon/tests/common/fleet.rs
@@ -35,6 +35,8 @@
     pub store_proxies: bool,
     /// Whether there is a fault proxy in front of each engine.
     pub engine_proxies: bool,
+    /// Most descriptors that a router may open; `None` if its limit is that of the test.
+    pub max_fds: Option<usize>,
     /// YAML lines that are appended to the routers' settings files.
     pub settings: String,
     pub tables: TableOptions,
@@ -49,6 +51,7 @@
             service_args: Vec::new(),
             store_proxies: false,
             engine_proxies: false,
+            max_fds: None,
             settings: String::new(),
             tables: TableOptions::default(),
         }
@@ -227,7 +230,7 @@
             self.options.settings
         );
         fs::write(&settings, text).expect("the directory exists");
-        let child = spawn_router(&settings);
+        let child = spawn_router(&settings, self.options.max_fds);
         self.routers.push(Router {
             child,
             callers,
@@ -240,7 +243,7 @@
     /// Restarts a router that has exited, at the same addresses.
     pub fn restart_router(&mut self, number: usize) {
         let router = &mut self.routers[number];
-        router.child = spawn_router(&router.settings);
+        router.child = spawn_router(&router.settings, self.options.max_fds);
     }
 
     /// Sets the VM list to the running routers, all as live.
@@ -473,8 +476,21 @@
     pub holders: usize,
 }
 
-fn spawn_router(settings: &std::path::Path) -> Child {
-    program("peridotslipd")
+fn spawn_router(settings: &std::path::Path, max_fds: Option<usize>) -> Child {
+    let mut command = match max_fds {
+        None => program("peridotslipd"),
+        Some(limit) => {
+            // The shell sets the limit for the router alone.
+            let mut shell = Command::new("sh");
+            shell
+                .stdin(Stdio::null())
+                .args(["-c", "ulimit -n \"$0\" && exec \"$@\""])
+                .arg(limit.to_string())
+                .arg(env!("CARGO_BIN_EXE_peridotslipd"));
+            shell
+        }
+    };
+    command
         .arg("--settings")
         .arg(settings)
         .spawn()
