Listen for callers with the backlog of before

A router that can't follow then has many more connections waiting to be accepted, whose clients wait for it instead of going elsewhere.

Change: the runtime opens the listener as before, and the length of the buffers is set on it.

--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -3,7 +3,6 @@
 use std::{
     convert::Infallible,
     io,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,8 +17,9 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use peridotslip::held_connections::ConnectionPhase;
+use socket2::SockRef;
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     sync::watch,
 };
 
@@ -38,8 +38,6 @@
 
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
-/// Most connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
 /// Smallest buffer of a connection, in bytes. A table that becomes active later may
 /// allow heads up to this size.
 const MIN_BUFFER_BYTES: usize = 64 * 1024;
@@ -56,20 +54,13 @@
 /// # Errors
 ///
 /// An I/O error if the address can't be listened on.
-pub(crate) fn listen_for_callers(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
+pub(crate) async fn listen_for_callers(address: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
     // Connections inherit the buffer's length.
-    let length = u32::try_from(RECEIVE_BUFFER_BYTES).unwrap_or(u32::MAX);
-    if let Err(err) = socket.set_recv_buffer_size(length) {
+    if let Err(err) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
         log::warn!("can't bound the receive buffers of callers' connections: {err}");
     }
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
+    Ok(listener)
 }
 
 /// Serves callers until `stop` is true. Open requests may complete after that.
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -127,7 +127,7 @@
             },
         );
         let listen = settings.listen.clone();
-        let callers = listeners::listen_for_callers(listen.callers.parse()?)?;
+        let callers = listeners::listen_for_callers(&listen.callers).await?;
         let ready = TcpListener::bind(&listen.ready).await?;
         let peer_listener = TcpListener::bind(&listen.peers).await?;
         let shared = Arc::new(SharedState::new(
