Log the age of a router's last news when its table lacks a route

Change: one log line for each such refusal, with version and news_age_ms. Result: none was measured; the line changes no decision.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -195,6 +195,14 @@
             .record_news(self.clock.now_ms());
     }
 
+    /// Returns how long ago this router has last learnt of the table, in milliseconds.
+    pub(crate) fn table_news_age_ms(&self) -> Option<u64> {
+        let freshness = self.table_freshness.lock();
+        freshness
+            .unwrap_or_else(PoisonError::into_inner)
+            .news_age_ms(self.clock.now_ms())
+    }
+
     /// Returns whether this router would have learnt of a newer table than the active
     /// one.
     pub(crate) fn is_table_fresh(&self) -> bool {
--- a/crates/peridotslip-edge/src/filters/route.rs
+++ b/crates/peridotslip-edge/src/filters/route.rs
@@ -67,6 +67,8 @@
         RouteMatch::NoRoute => RejectionReason::NoRoute,
         RouteMatch::UnknownKey => RejectionReason::UnknownKey,
     };
+    let news_age_ms = cx.shared.table_news_age_ms();
+    log::info!(id = cx.id(), version = cx.index.version(), news_age_ms; "active table lacks the route or the key");
     if cx.shared.is_table_fresh() {
         return Err(Rejection::new(reason));
     }
--- a/crates/peridotslip/src/forwarding/freshness.rs
+++ b/crates/peridotslip/src/forwarding/freshness.rs
@@ -22,6 +22,12 @@
         self.last_news_ms = Some(now_ms);
     }
 
+    /// Returns the age of the last news, in milliseconds; `None` if there is none.
+    #[must_use]
+    pub fn news_age_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.last_news_ms?))
+    }
+
     /// Returns whether the last news is recent.
     #[must_use]
     pub fn is_fresh(&self, now_ms: u64) -> bool {
