Count a table as current only as of a call that proves it

Callers got 404 for routes that the table in force has. Cause: a router took any reply to its watch of the servers, also from a relay, for news of the routing table, as of the reply's arrival, with a constant bound of 3 s. A watch of the table lasted 10 s, so that a lost reply left the table as it was for that time, and its followers with it. Change: a table is current as of the moment at which the call was sent whose reply proves it: one to a watch of the table, or a relay's statement of its own table's age and last change (protocol 8), which counts only if the follower has read that change; otherwise its watch calls again. The bounds follow from timing.table_apply_ms, which the deployment sets. Watches of the table are as short as that needs, a table whose proof would not last is confirmed by a short one, and a relay turns followers away from a table of which it has no proof.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -98,6 +98,9 @@
     /// Reports requests to the keeper of a service's pool of second attempts, and asks for
     /// leases. Sent to routers that know protocol 7.
     PoolSecondAttempts(PoolAsk),
+    /// Asks a relay for the store's changes and for how current its routing table is. Sent
+    /// to routers that know protocol 8.
+    FollowWithProof(FollowRequest),
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -148,6 +151,7 @@
             | Self::FetchLimits
             | Self::PassCrashes(_)
             | Self::Follow(_)
+            | Self::FollowWithProof(_)
             | Self::Probe => true,
             // Each reply issues a transfer, a permit or leases of its own, and a report
             // counts each time.
--- a/crates/peridotslip-edge/src/clock.rs
+++ b/crates/peridotslip-edge/src/clock.rs
@@ -20,6 +20,12 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the milliseconds from the clock's start to `at`.
+    pub(crate) fn ms_at(self, at: Instant) -> u64 {
+        let since = at.saturating_duration_since(self.start);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the milliseconds since the Unix epoch. The system clock may jump,
     /// so correctness must not depend on this value.
     pub(crate) fn unix_ms() -> u64 {
--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -187,29 +187,37 @@
         newer
     }
 
-    /// Records that the store, or a relay, has replied to a watch.
-    pub(crate) fn record_table_news(&self) {
-        let freshness = self.table_freshness.lock();
-        freshness
+    /// Locks the record of how current the routing table is.
+    pub(crate) fn table_freshness(&self) -> MutexGuard<'_, TableFreshness> {
+        self.table_freshness
+            .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .record_news(self.clock.now_ms());
     }
 
-    /// Returns how long ago this router has last learnt of the table, in milliseconds.
-    pub(crate) fn table_news_age_ms(&self) -> Option<u64> {
-        let freshness = self.table_freshness.lock();
-        freshness
-            .unwrap_or_else(PoisonError::into_inner)
-            .news_age_ms(self.clock.now_ms())
+    /// Returns how long ago the routing table was current, in milliseconds.
+    pub(crate) fn table_age_ms(&self) -> Option<u64> {
+        self.table_freshness().age_ms(self.clock.now_ms())
     }
 
     /// Returns whether this router would have learnt of a newer table than the active
-    /// one.
-    pub(crate) fn is_table_fresh(&self) -> bool {
-        let freshness = self.table_freshness.lock();
-        freshness
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_fresh(self.clock.now_ms())
+    /// one, if that must be in force.
+    pub(crate) fn is_table_current(&self) -> bool {
+        let max_age_ms = self.settings().table_timing().max_age_ms();
+        let now_ms = self.clock.now_ms();
+        self.table_freshness().is_current(max_age_ms, now_ms)
+    }
+
+    /// Returns whether the routing table still counts as current after `wait`, for this
+    /// router and for those that follow it.
+    pub(crate) fn is_table_current_after(&self, wait: Duration) -> bool {
+        let timing = self.settings().table_timing();
+        let max_age_ms = if self.feeds.has_followers() {
+            timing.max_relay_age_ms()
+        } else {
+            timing.max_age_ms()
+        };
+        let at_ms = self.clock.ms_at(Instant::now() + wait);
+        self.table_freshness().is_current(max_age_ms, at_ms)
     }
 
     /// Locks the servers' placement.
--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -11,11 +11,12 @@
 };
 
 use peridotslip::{
+    forwarding::TableProof,
     ids::Incarnation,
     relay::{Change, ChangeLog, ChangeUpdate, Position, Rejection, Source, SourceSelector},
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     budgets::PeerRequest,
@@ -50,6 +51,14 @@
 /// for a large table over a small VM's link.
 const LONG_SLACK_MS: u64 = 3_000;
 
+/// How long after the store's return a relay may be without a reply to its watch of the
+/// routing table, in milliseconds.
+const TABLE_RETURN_MS: u64 = 1_200;
+
+/// How late the reply to a relay's watch of the routing table may be before it turns its
+/// followers away, in milliseconds.
+const TABLE_LATE_MS: u64 = 300;
+
 /// A prefix of the store that routers watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -76,9 +85,16 @@
         }
     }
 
-    /// Returns whether a relay knows the feed.
+    /// Returns whether the feed has the routing table.
+    pub(crate) fn has_table(self) -> bool {
+        matches!(self, Self::Table | Self::OperatorKeys)
+    }
+
+    /// Returns whether a relay knows the feed. The table is followed only where the relay
+    /// says how current it is.
     pub(crate) fn is_known_to(self, relay: &RouterInstance) -> bool {
-        self != Self::OperatorKeys || relay.relays_operator_keys()
+        (self != Self::OperatorKeys || relay.relays_operator_keys())
+            && (!self.has_table() || relay.proves_tables())
     }
 
     /// Returns how long a relay holds a call. `must_catch_up`: whether the caller
@@ -119,6 +135,10 @@
     Refused(FollowRefusal),
 }
 
+/// A relay's reply, and how current its routing table is. `None` if the relay reads it from
+/// another one.
+pub(crate) type ProvenReply = (FollowReply, Option<TableProof>);
+
 /// Why a router does not serve a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum FollowRefusal {
@@ -128,7 +148,7 @@
     Stopping,
     /// The store is unavailable to the router.
     Outage,
-    /// The router has last read the store too long ago.
+    /// The router has last read the feed from the store too long ago.
     Stale,
     /// The router does not have the changes after the follower's position.
     NotCovered,
@@ -162,6 +182,8 @@
     servers_source: watch::Sender<Option<Source>>,
     /// Notifies the watches of relays that are passed over.
     rejected: watch::Sender<()>,
+    /// Notifies the watch of the table that a relay has read further changes.
+    table_lags: Notify,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -179,6 +201,7 @@
             selector: Mutex::new(SourceSelector::new(vm)),
             servers_source: watch::Sender::default(),
             rejected: watch::Sender::new(()),
+            table_lags: Notify::new(),
         }
     }
 
@@ -328,6 +351,26 @@
         was_direct
     }
 
+    /// Returns the last change of the table that this router has read from the store;
+    /// `None` if it reads the table from a relay.
+    fn last_table_change(&self) -> Option<Position> {
+        let feeds = [Feed::Table, Feed::OperatorKeys];
+        feeds.into_iter().find_map(|feed| {
+            let state = self.state(feed);
+            state.is_direct.then(|| state.log.last_change())
+        })
+    }
+
+    /// Waits until a relay turns out to have read changes of the table that this router
+    /// lacks. Only the watch of the table may wait.
+    pub(crate) async fn wait_table_lags(&self, feed: Feed) {
+        if feed.has_table() {
+            self.table_lags.notified().await;
+        } else {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn record_read(&self, feed: Feed) {
         if feed == Feed::Servers {
             let age = Duration::from_millis(MAX_AGE_MS);
@@ -336,13 +379,61 @@
     }
 }
 
-fn position(revision: Revision) -> Position {
+pub(crate) fn position(revision: Revision) -> Position {
     Position {
         epoch: revision.epoch.0,
         revision: revision.number,
     }
 }
 
+/// Returns until when this router serves a feed without another read of it from the store;
+/// `None` if it does not serve it now. The servers' entries vouch for the entries of
+/// routers, which change rarely.
+fn fresh_until(shared: &SharedState, feed: Feed) -> Option<Instant> {
+    let now = Instant::now();
+    if feed.has_table() {
+        let max_age_ms = shared.settings().table_timing().max_relay_age_ms();
+        let age_ms = shared.table_age_ms()?;
+        let rest_ms = max_age_ms.checked_sub(age_ms)?;
+        return Some(now + Duration::from_millis(rest_ms + 1));
+    }
+    lock(&shared.feeds.fresh_until).filter(|until| *until > now)
+}
+
+/// Returns until when this router holds its followers although its table is not proven to
+/// be current, because a reply that proves it is due; `None` if it turns them away.
+fn settles_at(shared: &SharedState, feed: Feed) -> Option<Instant> {
+    if !feed.has_table() {
+        return None;
+    }
+    let available_for = shared.store_availability.available_for()?;
+    let since_return = Duration::from_millis(TABLE_RETURN_MS).checked_sub(available_for);
+    let max_age_ms = shared.settings().table_timing().max_relay_age_ms();
+    let age_ms = shared.table_age_ms()?;
+    let since_stale = (max_age_ms + TABLE_LATE_MS).checked_sub(age_ms);
+    let rest = since_return.max(since_stale.map(Duration::from_millis))?;
+    (!rest.is_zero()).then(|| Instant::now() + rest)
+}
+
+/// Replies to a follower like [`serve`], and says how current the routing table is.
+pub(crate) async fn serve_with_proof(
+    shared: &Arc<SharedState>,
+    request: &FollowRequest,
+) -> ProvenReply {
+    let arrived = Instant::now();
+    let reply = serve(shared, request).await;
+    let proof = || {
+        // Before the last change is read: a later one must not count as of this moment.
+        let age_ms = shared.table_age_ms()?;
+        Some(TableProof {
+            changed: shared.feeds.last_table_change()?,
+            age_ms,
+            held_ms: u64::try_from(arrived.elapsed().as_millis()).ok()?,
+        })
+    };
+    (reply, proof())
+}
+
 /// Replies to a follower once there are changes, after some time without any, or
 /// when this router can't serve it. In an outage of both, replies once the store has
 /// returned.
@@ -353,9 +444,9 @@
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     let mut changed = feeds.changed[request.feed as usize].subscribe();
     loop {
-        let now = Instant::now();
-        let is_late = now >= deadline;
-        let fresh_until = lock(&feeds.fresh_until).filter(|until| *until > now);
+        let is_late = Instant::now() >= deadline;
+        let fresh_until = fresh_until(shared, request.feed);
+        let settles_at = settles_at(shared, request.feed);
         match current_update(shared, request, fresh_until.is_some()) {
             Ok(update) if is_late || request.in_outage || !update.changes.is_empty() => {
                 return FollowReply::Changes(update);
@@ -363,9 +454,11 @@
             Ok(_) => {}
             Err(FollowRefusal::Behind) if !is_late => {}
             Err(FollowRefusal::Outage) if !is_late && request.in_outage => {}
+            Err(FollowRefusal::Stale) if !is_late && settles_at.is_some() => {}
             Err(refusal) => return FollowReply::Refused(refusal),
         }
-        let wake_at = fresh_until.map_or(deadline, |until| until.min(deadline));
+        let wake_at = fresh_until.or(settles_at);
+        let wake_at = wake_at.map_or(deadline, |wake_at| wake_at.min(deadline));
         tokio::select! {
             Ok(()) = changed.changed() => {}
             () = tokio::time::sleep_until(wake_at.into()) => {}
@@ -466,17 +559,41 @@
 ) -> rpc::Result<FollowReply> {
     let slack = request.feed.slack();
     let timeout = Duration::from_millis(request.wait_ms) + slack;
-    let call = PeerRequest::Follow(request.clone());
-    let reply = shared.peers.call(relay, &call, timeout).await;
+    let reply = call_once(shared, relay, request.clone(), timeout).await;
     let is_late_here = reply.as_ref().is_err_and(rpc::Error::is_timeout) && shared.health.is_slow();
     if !is_late_here {
         return reply;
     }
-    let call = PeerRequest::Follow(FollowRequest {
+    let request = FollowRequest {
         wait_ms: 0,
         ..request
-    });
-    shared.peers.call(relay, &call, slack).await
+    };
+    call_once(shared, relay, request, slack).await
+}
+
+/// Calls a relay, and records what it says of the routing table.
+async fn call_once(
+    shared: &SharedState,
+    relay: &RouterInstance,
+    request: FollowRequest,
+    timeout: Duration,
+) -> rpc::Result<FollowReply> {
+    if !relay.proves_tables() {
+        let call = PeerRequest::Follow(request);
+        return shared.peers.call(relay, &call, timeout).await;
+    }
+    let feed = request.feed;
+    let sent_ms = shared.clock.now_ms();
+    let call = PeerRequest::FollowWithProof(request);
+    let (reply, proof): ProvenReply = shared.peers.call(relay, &call, timeout).await?;
+    // The reply to the table's own watch brings the changes that the proof is about.
+    if let (Some(proof), false) = (proof, feed.has_table())
+        && shared.table_freshness().record_proof(&proof, sent_ms)
+    {
+        log::info!(relay = relay.vm.as_str(), changed = proof.changed.revision; "relay has read changes of the routing table that this router lacks; reading them again");
+        shared.feeds.table_lags.notify_one();
+    }
+    Ok(reply)
 }
 
 /// Waits in an outage until the store has returned to a relay.
--- a/crates/peridotslip-edge/src/filters/route.rs
+++ b/crates/peridotslip-edge/src/filters/route.rs
@@ -67,9 +67,9 @@
         RouteMatch::NoRoute => RejectionReason::NoRoute,
         RouteMatch::UnknownKey => RejectionReason::UnknownKey,
     };
-    let news_age_ms = cx.shared.table_news_age_ms();
-    log::info!(id = cx.id(), version = cx.index.version(), news_age_ms; "active table lacks the route or the key");
-    if cx.shared.is_table_fresh() {
+    let table_age_ms = cx.shared.table_age_ms();
+    log::info!(id = cx.id(), version = cx.index.version(), table_age_ms; "active table lacks the route or the key");
+    if cx.shared.is_table_current() {
         return Err(Rejection::new(reason));
     }
     let after_ms = cx.shared.settings().timing.retry_after_ms;
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -35,8 +35,9 @@
 /// routers hold of a budget, version 4 observations of crashed servers and
 /// limits of servers, version 5 the store's changes, version 6 permits for cold
 /// servers, all keys that operators write, and the preference for large VMs as owners,
-/// version 7 the origins of streams for the store, and pools of second attempts.
-pub(crate) const PROTOCOL: u32 = 7;
+/// version 7 the origins of streams for the store, and pools of second attempts, version
+/// 8 how current a relay's routing table is.
+pub(crate) const PROTOCOL: u32 = 8;
 /// How long an ended router is remembered, in milliseconds.
 const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
@@ -71,6 +72,9 @@
 /// The first version of the messages between routers that has those about pools of second
 /// attempts.
 const POOLS_PROTOCOL: u32 = 7;
+/// The first version of the messages between routers in which a relay says how current its
+/// routing table is.
+const TABLE_PROOF_PROTOCOL: u32 = 8;
 /// Shortest interval between two messages with observations to a peer, in
 /// milliseconds.
 const MIN_SHARE_INTERVAL_MS: u64 = 100;
@@ -125,6 +129,11 @@
     pub(crate) fn relays_operator_keys(&self) -> bool {
         self.protocol >= OPERATOR_KEYS_PROTOCOL
     }
+
+    /// Returns whether the router says how current its routing table is.
+    pub(crate) fn proves_tables(&self) -> bool {
+        self.protocol >= TABLE_PROOF_PROTOCOL
+    }
 }
 
 /// Where a router's VM is and what it has.
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -31,7 +31,7 @@
     clock::Clock,
     context::SharedState,
     crash_watch,
-    feeds::{self, FollowReply},
+    feeds::{self, FollowReply, ProvenReply},
     filters::Chain,
     hedge_pool, link_gate, listeners,
     local_health::LocalHealth,
@@ -223,6 +223,7 @@
     Limits(Vec<LimitNews>),
     Pool(PoolReply),
     Changes(FollowReply),
+    ProvenChanges(ProvenReply),
     Done(bool),
 }
 
@@ -283,10 +284,7 @@
             holder,
             budget,
         } => PeerResponse::Ceiling(shared.budgets.seal_ceiling(witness, holder, &budget)),
-        PeerRequest::Leaving { incarnation } => {
-            record_leaving(&shared, incarnation);
-            PeerResponse::Done(true)
-        }
+        PeerRequest::Leaving { incarnation } => record_leaving(&shared, incarnation),
         PeerRequest::RecordOrigin {
             id,
             origin,
@@ -318,6 +316,9 @@
         PeerRequest::Follow(request) => {
             PeerResponse::Changes(feeds::serve(&shared, &request).await)
         }
+        PeerRequest::FollowWithProof(request) => {
+            PeerResponse::ProvenChanges(feeds::serve_with_proof(&shared, &request).await)
+        }
         PeerRequest::TakeWarmupPermit(ask) => {
             PeerResponse::WarmupPermit(warmup::grant(&shared, &ask))
         }
@@ -336,12 +337,13 @@
 }
 
 /// Records that a router is leaving. A relay passes it on.
-fn record_leaving(shared: &SharedState, incarnation: Incarnation) {
+fn record_leaving(shared: &SharedState, incarnation: Incarnation) -> PeerResponse {
     let is_new = shared.peers.set_leaving(incarnation);
     if is_new && shared.crashes.passes_on() {
         let peers = shared.peers.clone();
         tokio::spawn(async move { peers.announce_leaving(incarnation).await });
     }
+    PeerResponse::Done(true)
 }
 
 /// Applies the settings file when it changes and on SIGHUP. If the file is
--- a/crates/peridotslip-edge/src/settings.rs
+++ b/crates/peridotslip-edge/src/settings.rs
@@ -7,6 +7,7 @@
 };
 
 use peridotslip::{
+    forwarding::{MIN_APPLY_WITHIN_MS, TableTiming},
     relay::VmSize,
     vm_shares::{self, VmShares},
 };
@@ -149,6 +150,9 @@
     /// When a caller may retry after a rejection for lack of a routing table, of
     /// servers or of capacity.
     pub retry_after_ms: u64,
+    /// Time from the confirmation of a change of the routing table until it must be in
+    /// force.
+    pub table_apply_ms: u64,
 }
 
 impl Default for Timing {
@@ -156,6 +160,7 @@
         Self {
             grace_ms: 8_000,
             retry_after_ms: 500,
+            table_apply_ms: 2_000,
         }
     }
 }
@@ -312,6 +317,13 @@
         Ok(settings)
     }
 
+    /// Returns the timing of the keys that operators write.
+    pub(crate) fn table_timing(&self) -> TableTiming {
+        let evacuation = self.evacuation.map(|evacuation| evacuation.apply_within_ms);
+        let table_ms = self.timing.table_apply_ms;
+        TableTiming::new(evacuation.map_or(table_ms, |within_ms| within_ms.min(table_ms)))
+    }
+
     fn check(&self, file: &Path) -> Result<()> {
         let address = |text: &str| text.parse::<std::net::SocketAddr>().is_ok();
         let field = |field, remedy| Err(Error::Field(file.to_owned(), field, remedy));
@@ -346,6 +358,9 @@
                 return field("vm_size", "max_fds must be 0 or 250 or more");
             }
         }
+        if self.timing.table_apply_ms < MIN_APPLY_WITHIN_MS {
+            return field("timing", "table_apply_ms must be 1500 or more");
+        }
         if !(0.0..=1.0).contains(&self.admission.link_share) {
             return field("admission", "link_share must be from 0 to 1");
         }
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -27,6 +27,11 @@
 /// call that was sent while the store was unavailable may get no response even
 /// after the store has recovered, so the watch must end soon.
 const PROBE_WATCH_MS: u64 = 200;
+/// How long a watch of the routing table waits for a change while the table is not proven to
+/// be current, although the store replies to other calls, in milliseconds.
+const PROOF_WATCH_MS: u64 = 50;
+/// Time for a reply of the store, in milliseconds.
+const REPLY_MS: u64 = 50;
 /// Pause between two watches of the routing table or the routers, in
 /// milliseconds, so that a burst of changes is read in one response.
 const CHANGES_PAUSE_MS: u64 = 100;
@@ -91,13 +96,57 @@
     Changes(WatchResponse),
 }
 
-/// Lists a prefix, or watches it for changes after `revision`. Waits only
-/// briefly for changes if `is_short`, to find out whether the store is available.
+/// What a watch is for besides the changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WatchPurpose {
+    /// Nothing.
+    Changes,
+    /// To find out whether the store is available.
+    Probe,
+    /// To prove at once that the changes that are known are all, while the store replies
+    /// to other calls.
+    Proof,
+}
+
+/// Returns how long a watch waits for changes.
+fn wait(watcher: &impl PrefixWatcher, purpose: WatchPurpose) -> Duration {
+    match purpose {
+        WatchPurpose::Changes => watcher.watch_timeout(),
+        WatchPurpose::Probe => watcher.probe_timeout(),
+        WatchPurpose::Proof => Duration::from_millis(PROOF_WATCH_MS),
+    }
+}
+
+/// Returns the purpose of a watch's next call. `is_probe`: whether it has to find out
+/// whether the store is available.
+fn next_purpose(
+    shared: &SharedState,
+    watcher: &impl PrefixWatcher,
+    progress: &Progress,
+    is_probe: bool,
+) -> WatchPurpose {
+    let purpose = if is_probe {
+        WatchPurpose::Probe
+    } else {
+        WatchPurpose::Changes
+    };
+    let lasts = || {
+        let reply_due = wait(watcher, purpose) + Duration::from_millis(REPLY_MS);
+        shared.is_table_current_after(reply_due)
+    };
+    if watcher.feed().has_table() && !progress.proof_failed && !lasts() {
+        WatchPurpose::Proof
+    } else {
+        purpose
+    }
+}
+
+/// Lists a prefix, or watches it for changes after `revision`.
 async fn read_store(
     shared: &SharedState,
     watcher: &impl PrefixWatcher,
     revision: Option<Revision>,
-    is_short: bool,
+    purpose: WatchPurpose,
 ) -> StoreResult<StoreReply> {
     let store = &shared.platform.store;
     let Some(revision) = revision else {
@@ -105,11 +154,7 @@
         return store.list(watcher.prefix()).await.map(StoreReply::Listing);
     };
     shared.metrics.store_call("watch");
-    let wait = if is_short {
-        watcher.probe_timeout()
-    } else {
-        watcher.watch_timeout()
-    };
+    let wait = wait(watcher, purpose);
     let response = store.watch(watcher.prefix(), revision, wait).await;
     response.map(StoreReply::Changes)
 }
@@ -127,6 +172,9 @@
     called_at: Instant,
     /// Whether the next call goes to the store although there may be a relay.
     must_call: bool,
+    /// Whether the last call for a proof got no reply in time. Replies may be slow, so
+    /// that a longer wait is needed.
+    proof_failed: bool,
 }
 
 impl Progress {
@@ -138,6 +186,7 @@
             backoff_ms: FIRST_BACKOFF_MS,
             called_at: Instant::now(),
             must_call: false,
+            proof_failed: false,
         }
     }
 
@@ -146,6 +195,7 @@
         self.last_reply = Some((revision.epoch, Instant::now()));
         self.lost_at = None;
         self.backoff_ms = FIRST_BACKOFF_MS;
+        self.proof_failed = false;
     }
 
     /// Returns when the last reply before the store was restored arrived, if it has
@@ -188,6 +238,7 @@
                     true
                 }
                 () = availability.changed_to(true), if in_outage => true,
+                () = shared.feeds.wait_table_lags(feed), if !in_outage => true,
                 () = epoch_changed(&mut epoch, progress.revision) => {
                     progress.revision = None;
                     true
@@ -205,10 +256,11 @@
             continue;
         }
         let is_check = std::mem::take(&mut progress.must_call) && feed == Feed::Servers;
+        let purpose = next_purpose(&shared, &watcher, &progress, probing || is_check);
         let revision = progress.revision;
         progress.called_at = Instant::now();
         let outcome = tokio::select! {
-            outcome = read_store(&shared, &watcher, revision, probing || is_check) => outcome,
+            outcome = read_store(&shared, &watcher, revision, purpose) => outcome,
             // Another watch has lost the store: this call may never get a
             // response, so a short one replaces it.
             () = availability.changed_to(false), if !probing => continue,
@@ -237,6 +289,7 @@
             Err(err) => {
                 shared.metrics.store_failed();
                 let started = progress.called_at;
+                progress.proof_failed |= purpose == WatchPurpose::Proof;
                 let replied_since = shared.store_availability.record_failure(started);
                 if progress.lost_at.is_none() {
                     progress.lost_at = Some(Instant::now());
@@ -284,7 +337,11 @@
         }
     };
     progress.record_reply(revision);
-    record_news(shared, feed);
+    if feed.has_table() {
+        let called_ms = shared.clock.ms_at(progress.called_at);
+        let position = feeds::position(revision);
+        shared.table_freshness().record_read(position, called_ms);
+    }
     if let Some(outage) = outage {
         let after_ms = as_ms(outage.began.elapsed());
         log::info!(feed = feed.name(), after_ms, revision = revision.number; "store is available again");
@@ -310,7 +367,10 @@
             }
             let revision = apply_changes(watcher, response);
             progress.record_reply(revision);
-            record_news(shared, feed);
+            if feed.has_table() {
+                let position = feeds::position(revision);
+                shared.table_freshness().record_position(position);
+            }
             watcher.on_batch_end();
             true
         }
@@ -323,14 +383,6 @@
     }
 }
 
-/// Records a reply that shows how recent the routing table is. The servers' entries are
-/// read at short intervals, and a reply to the table's own watch says it as well.
-fn record_news(shared: &SharedState, feed: Feed) {
-    if matches!(feed, Feed::Servers | Feed::Table | Feed::OperatorKeys) {
-        shared.record_table_news();
-    }
-}
-
 /// Applies all items under the prefix. Returns the revision from which to go on.
 fn apply_listing(
     shared: &SharedState,
--- a/crates/peridotslip-edge/src/store_watch/operator_keys.rs
+++ b/crates/peridotslip-edge/src/store_watch/operator_keys.rs
@@ -4,7 +4,7 @@
 
 use peridotslip::forwarding::{RESTORED_EVACUATION_MS, RoutingIndex};
 
-use super::{CHANGES_PAUSE_MS, LONG_WATCH_MS, ListCause, PrefixWatcher, update_budgets};
+use super::{CHANGES_PAUSE_MS, ListCause, PrefixWatcher, update_budgets};
 use crate::{
     context::SharedState,
     feeds::Feed,
@@ -20,9 +20,6 @@
 /// Longest time from one call of the table's watch to the next in an outage, in
 /// milliseconds: the time that a probe without a response takes.
 const TABLE_PROBE_INTERVAL_MS: u64 = 1_600;
-/// Shortest wait of a watch for changes, in milliseconds. Bounds the calls of the
-/// store.
-const MIN_WATCH_MS: u64 = 1_000;
 
 /// Applies changes of the routing table and, where data centres can be evacuated, of
 /// evacuations.
@@ -143,13 +140,11 @@
         }
     }
 
-    /// A watch whose connection has failed without notice ends with its time limit.
+    /// A watch whose reply is lost ends with its time limit, and only the reply to a watch
+    /// proves that the table is current.
     fn watch_timeout(&self) -> Duration {
-        let wait_ms = self.evacuation.map_or(LONG_WATCH_MS, |evacuation| {
-            let apply_within_ms = evacuation.apply_within_ms;
-            apply_within_ms.clamp(MIN_WATCH_MS, LONG_WATCH_MS)
-        });
-        Duration::from_millis(wait_ms)
+        let timing = self.shared.settings().table_timing();
+        Duration::from_millis(timing.watch_ms(self.shared.feeds.has_followers()))
     }
 
     fn pause(&self) -> Duration {
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -42,7 +42,7 @@
     engine_memory::MemoryDemand,
     engine_rates::ServiceRate,
     evacuation::{EvacuationChanges, Evacuations, RESTORED_EVACUATION_MS},
-    freshness::TableFreshness,
+    freshness::{MIN_APPLY_WITHIN_MS, TableFreshness, TableProof, TableTiming},
     hedge_pool::{HedgePools, PoolAsk, PoolReply},
     hedging::{
         HedgeConditions, HedgeDenial, HedgeSource, HedgeWait, Hedging, RequestClass, lease_lead,
--- a/crates/peridotslip/src/relay/change_log.rs
+++ b/crates/peridotslip/src/relay/change_log.rs
@@ -85,6 +85,16 @@
         self.position
     }
 
+    /// Returns the position of the last change, or where the log starts if it has none.
+    #[must_use]
+    pub fn last_change(&self) -> Position {
+        let last = self.by_revision.last().map(|(revision, _)| *revision);
+        Position {
+            revision: last.unwrap_or(0).max(self.base.revision),
+            ..self.base
+        }
+    }
+
     /// Returns the last value of a key; `None` if the log has none.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<&[u8]> {
