Confirm a follower's table before its proof expires

Cause: a router that turns to a relay may be held by it for 1.4 s with its watch of servers, so that no proof of its table came in time and it refused unknown keys with 503 for a moment (healthy_routers_always_refuse_an_unknown_key failed on: 503 in place of 401). Change: a follower whose proof is about to expire calls its relay for another one by the table's own watch, whose empty replies count as proofs, too.

--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -55,6 +55,11 @@
 /// routing table, in milliseconds.
 const TABLE_RETURN_MS: u64 = 1_200;
 
+/// How long before the proof of a follower's table expires the follower calls for another
+/// one, in milliseconds.
+const CONFIRM_LEAD_MS: u64 = 300;
+/// How long a relay holds such a call, in milliseconds.
+const CONFIRM_WAIT_MS: u64 = 50;
 /// How late the reply to a relay's watch of the routing table may be before it turns its
 /// followers away, in milliseconds.
 const TABLE_LATE_MS: u64 = 300;
@@ -361,16 +366,6 @@
         })
     }
 
-    /// Waits until a relay turns out to have read changes of the table that this router
-    /// lacks. Only the watch of the table may wait.
-    pub(crate) async fn wait_table_lags(&self, feed: Feed) {
-        if feed.has_table() {
-            self.table_lags.notified().await;
-        } else {
-            std::future::pending::<()>().await;
-        }
-    }
-
     fn record_read(&self, feed: Feed) {
         if feed == Feed::Servers {
             let age = Duration::from_millis(MAX_AGE_MS);
@@ -519,7 +514,11 @@
 ) -> Followed {
     let feeds = &shared.feeds;
     let was_direct = feeds.record_followed(feed);
-    let wait_ms = feed.wait_ms(was_direct || in_outage);
+    let wait_ms = if feed.has_table() && time_to_confirm(shared).is_zero() {
+        CONFIRM_WAIT_MS
+    } else {
+        feed.wait_ms(was_direct || in_outage)
+    };
     let request = FollowRequest {
         feed,
         position: position(revision),
@@ -586,8 +585,10 @@
     let sent_ms = shared.clock.now_ms();
     let call = PeerRequest::FollowWithProof(request);
     let (reply, proof): ProvenReply = shared.peers.call(relay, &call, timeout).await?;
-    // The reply to the table's own watch brings the changes that the proof is about.
-    if let (Some(proof), false) = (proof, feed.has_table())
+    // Changes that the reply brings have not been applied yet.
+    let brings_table = matches!(&reply, FollowReply::Changes(update) if feed.has_table() && !update.changes.is_empty());
+    if let Some(proof) = proof
+        && !brings_table
         && shared.table_freshness().record_proof(&proof, sent_ms)
     {
         log::info!(relay = relay.vm.as_str(), changed = proof.changed.revision; "relay has read changes of the routing table that this router lacks; reading them again");
@@ -596,6 +597,37 @@
     Ok(reply)
 }
 
+/// Returns the time until this router should call a relay for a proof of its table, unless
+/// replies to its calls for servers bring one before.
+fn time_to_confirm(shared: &SharedState) -> Duration {
+    let max_age_ms = shared.settings().table_timing().max_age_ms();
+    let age_ms = shared.table_age_ms().unwrap_or(max_age_ms);
+    let rest_ms = max_age_ms.saturating_sub(CONFIRM_LEAD_MS + age_ms);
+    Duration::from_millis(rest_ms)
+}
+
+/// Waits until the watch of the table should call a relay again, because relays have read
+/// further changes or the proof of the table is about to expire.
+pub(crate) async fn wait_table_unproven(shared: &SharedState, feed: Feed) {
+    if !feed.has_table() {
+        return std::future::pending().await;
+    }
+    let expires = async {
+        // An attempt that is under way must not be cut off by the next one.
+        tokio::time::sleep(Duration::from_millis(CONFIRM_LEAD_MS)).await;
+        loop {
+            match time_to_confirm(shared) {
+                Duration::ZERO => return,
+                rest => tokio::time::sleep(rest).await,
+            }
+        }
+    };
+    tokio::select! {
+        () = shared.feeds.table_lags.notified() => {}
+        () = expires => {}
+    }
+}
+
 /// Waits in an outage until the store has returned to a relay.
 pub(crate) async fn wait_at_relay(
     shared: &SharedState,
