--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -12,8 +12,9 @@
 use http::{HeaderMap, Method, Uri, header};
 use peridotslip::{
     forwarding::{
-        HedgePools, Hedging, Obstacle, Organisation, Placement, PromptVerdict, RetryBudget,
-        RoutingIndex, RoutingRule, Selection, ServerVersion, TableFreshness, WarmupPermits,
+        CrashVerdict, HedgePools, Hedging, Obstacle, Organisation, Placement, RequestFingerprint,
+        RequestPart, RetryBudget, RoutingIndex, RoutingRule, Selection, ServerVersion,
+        TableFreshness, WarmupPermits,
     },
     memory::MemoryPool,
     vm_shares::{self, VmShares},
@@ -330,8 +331,10 @@
     pub(crate) reservation: Option<ReservationGuard>,
     /// What the request uses of the link; `None` if that is not limited.
     pub(crate) link_ticket: Option<Arc<LinkTicket>>,
-    /// Whether the request is sent although its prompt is blocked, to learn whether
-    /// the prompt still crashes servers.
+    /// What other requests may have in common with this one, once its body has been read.
+    pub(crate) parts: Vec<RequestPart>,
+    /// Whether the request is sent although it is blocked, to learn whether it still
+    /// crashes servers.
     pub(crate) is_probe: bool,
 }
 
@@ -360,28 +363,54 @@
         self.arrived + Duration::from_millis(limit_ms)
     }
 
-    /// Returns whether the request must not be sent because its prompt crashes
-    /// servers.
-    pub(crate) fn is_prompt_blocked(&self) -> bool {
-        let verdict = self.shared.crashes.verdict(&self.metadata.prompt);
-        !self.is_probe && matches!(verdict, PromptVerdict::Blocked(_))
+    /// Returns the host to which the request is addressed.
+    pub(crate) fn host(&self) -> Option<&str> {
+        match self.uri.authority() {
+            Some(authority) => Some(authority.as_str()),
+            None => self.headers.get(header::HOST)?.to_str().ok(),
+        }
+    }
+
+    /// Sets the request's parts from its head and its complete body.
+    pub(crate) fn set_parts(&mut self) {
+        let organisation = self.organisation.as_ref();
+        let caller = organisation.map_or("", |organisation| organisation.name.as_str());
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let host = self.host().unwrap_or("");
+        let mut request = RequestFingerprint::new(caller, self.method.as_str(), host, path);
+        self.body.parts().for_each(|part| request.append(part));
+        let mut parts = self.metadata.prompt.shared_segments();
+        parts.push(request.finish());
+        self.parts = parts;
+    }
+
+    /// Returns the part of the request because of which it must not be sent, as servers
+    /// have crashed under it.
+    pub(crate) fn blocked_part(&self) -> Option<RequestPart> {
+        let CrashVerdict::Blocked(blocked) = self.shared.crashes.verdict(&self.parts) else {
+            return None;
+        };
+        let mut parts = self.parts.iter();
+        parts.find(|part| part.id == blocked).copied()
+    }
+
+    /// Returns whether the request must not be sent because it crashes servers.
+    pub(crate) fn is_blocked(&self) -> bool {
+        !self.is_probe && self.blocked_part().is_some()
     }
 
-    /// Returns whether servers have crashed under the request's prompt, so that it
-    /// must not be sent a second time.
-    pub(crate) fn is_prompt_suspect(&self) -> bool {
-        self.shared.crashes.verdict(&self.metadata.prompt) != PromptVerdict::Clear
+    /// Returns whether servers have crashed under the request, so that it must not be sent
+    /// a second time.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.shared.crashes.verdict(&self.parts) != CrashVerdict::Clear
     }
 
-    /// Waits until the request must not be sent because its prompt crashes servers.
-    pub(crate) async fn wait_prompt_blocked(&self) {
-        if self.is_probe || self.metadata.prompt.segments.is_empty() {
+    /// Waits until the request must not be sent because it crashes servers.
+    pub(crate) async fn wait_blocked(&self) {
+        if self.is_probe {
             return std::future::pending().await;
         }
-        self.shared
-            .crashes
-            .wait_blocked(&self.metadata.prompt)
-            .await;
+        self.shared.crashes.wait_blocked(&self.parts).await;
     }
 
     /// Returns what the request requires of a server of `service`.
--- a/crates/peridotslip-edge/src/crash_watch.rs
+++ b/crates/peridotslip-edge/src/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Prompts that crash servers: shares observations with the other routers and
+//! Requests that crash servers: shares observations with the other routers and
 //! applies what [`CrashEvidence`] concludes from them.
 
 use std::{
@@ -13,8 +13,8 @@
 use futures::future::join_all;
 use peridotslip::{
     forwarding::{
-        BlockChange, CrashEvidence, CrashObservation, ObservationOrigin, PromptProfile,
-        PromptSegment, PromptVerdict, ServerStart,
+        BlockChange, CrashEvidence, CrashObservation, CrashVerdict, ObservationOrigin, RequestPart,
+        ServerStart,
     },
     ids::Incarnation,
 };
@@ -22,7 +22,7 @@
 
 use crate::{budgets::PeerRequest, clock::Clock, context::SharedState, peers::Peers};
 
-/// When the caller of a blocked prompt may retry, in milliseconds: not before a
+/// When the caller of a blocked request may retry, in milliseconds: not before a
 /// probe can have acquitted it.
 pub(crate) const BLOCKED_RETRY_MS: u64 = 5 * 60 * 1_000;
 /// Interval between two assessments, in milliseconds.
@@ -36,7 +36,7 @@
 pub(crate) struct CrashWatch {
     evidence: Mutex<CrashEvidence>,
     clock: Clock,
-    /// Notifies of changes of the blocked segments.
+    /// Notifies of changes of the blocked parts.
     blocks_changed: watch::Sender<()>,
     assessed_ms: AtomicU64,
     /// Whether this router passes on what its peers have observed.
@@ -58,19 +58,19 @@
         self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a server has ended a request with `segments`. Ignored right
+    /// Records that a server has ended a request with `parts`. Ignored right
     /// after a pause of this router, when connections end for other reasons.
-    pub(crate) fn record_end(&self, start: &ServerStart, segments: &[PromptSegment]) {
+    pub(crate) fn record_end(&self, start: &ServerStart, parts: &[RequestPart]) {
         let now_ms = self.clock.now_ms();
         let assessed_ms = self.assessed_ms.load(Ordering::Relaxed);
         if now_ms.saturating_sub(assessed_ms) < PAUSED_MS {
-            self.lock().record_end(start, segments, now_ms);
+            self.lock().record_end(start, parts, now_ms);
         }
     }
 
-    /// Records that a server has answered a prompt with `segments`.
-    pub(crate) fn record_answer(&self, segments: &[PromptSegment]) {
-        self.lock().record_answer(segments, self.clock.now_ms());
+    /// Records that a server has answered a request with `parts`.
+    pub(crate) fn record_answer(&self, parts: &[RequestPart]) {
+        self.lock().record_answer(parts, self.clock.now_ms());
     }
 
     /// Adds the observations of a peer. A relay passes them on as ones of `origin`.
@@ -89,24 +89,24 @@
         self.lock().snapshot(self.clock.now_ms())
     }
 
-    /// Returns what is known of a prompt.
-    pub(crate) fn verdict(&self, prompt: &PromptProfile) -> PromptVerdict {
-        self.lock().verdict(prompt)
+    /// Returns what is known of a request with `parts`.
+    pub(crate) fn verdict(&self, parts: &[RequestPart]) -> CrashVerdict {
+        self.lock().verdict(parts)
     }
 
-    /// Returns whether this router may send a request with a blocked segment to
+    /// Returns whether this router may send a request with a blocked part to
     /// learn whether it still crashes servers. One router at a time makes probes.
-    pub(crate) fn begin_probe(&self, segment: u64, peers: &Peers) -> bool {
-        let ranked = peers.ranked(&format!("{segment:x}"), true);
+    pub(crate) fn begin_probe(&self, part: u64, peers: &Peers) -> bool {
+        let ranked = peers.ranked(&format!("{part:x}"), true);
         let first = ranked.first();
         first.is_some_and(|first| first == peers.local())
-            && self.lock().begin_probe(segment, self.clock.now_ms())
+            && self.lock().begin_probe(part, self.clock.now_ms())
     }
 
-    /// Waits until a prompt is blocked.
-    pub(crate) async fn wait_blocked(&self, prompt: &PromptProfile) {
+    /// Waits until a request with `parts` is blocked.
+    pub(crate) async fn wait_blocked(&self, parts: &[RequestPart]) {
         let mut changes = self.blocks_changed.subscribe();
-        while !matches!(self.verdict(prompt), PromptVerdict::Blocked(_)) {
+        while !matches!(self.verdict(parts), CrashVerdict::Blocked(_)) {
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
@@ -120,11 +120,14 @@
         let changes = self.lock().assess(now_ms);
         for change in &changes {
             match change {
-                BlockChange::Blocked { segment, crashes } => {
-                    log::warn!(segment = format!("{segment:x}").as_str(), crashes; "servers have crashed under a prompt segment; rejecting requests with it");
+                BlockChange::Blocked { part, crashes } if part.is_whole() => {
+                    log::warn!(request = format!("{:x}", part.id).as_str(), crashes; "servers have crashed under a request; rejecting it when it comes again");
                 }
-                BlockChange::Released(segment) => {
-                    log::info!(segment = format!("{segment:x}").as_str(); "prompt segment is no longer blocked");
+                BlockChange::Blocked { part, crashes } => {
+                    log::warn!(segment = format!("{:x}", part.id).as_str(), crashes; "servers have crashed under a prompt segment; rejecting requests with it");
+                }
+                BlockChange::Released(part) => {
+                    log::info!(part = format!("{part:x}").as_str(); "prompt segment or request is no longer blocked");
                 }
             }
         }
--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as _, Incoming};
 use peridotslip::{
     forwarding::{
-        AttemptOutcome, MemoryDemand, PromptSegment, SelectedServer, Selection, ServerEntry,
+        AttemptOutcome, MemoryDemand, RequestPart, SelectedServer, Selection, ServerEntry,
         ServerId, ServerStart, ServerVersion,
     },
     ledger::RequestUsage,
@@ -112,8 +112,8 @@
     start: ServerStart,
     /// What the request needs of the engine's memory, if that is bounded.
     demand: Option<MemoryDemand>,
-    /// The segments of the request's prompt that other requests may share.
-    segments: Vec<PromptSegment>,
+    /// What other requests may have in common with this one.
+    parts: Vec<RequestPart>,
 }
 
 impl InFlightGuard {
@@ -151,24 +151,25 @@
     }
 
     /// Records that the connection has failed. If the server has closed it, the
-    /// request's prompt may have crashed the server, unless the server or this
-    /// router is stopping.
+    /// request may have crashed the server, unless the server or this router is stopping.
     fn record_lost_connection(&self, err: &ConnectionError) {
-        if err.closed_by_server && !self.segments.is_empty() {
-            let now_ms = self.shared.clock.now_ms();
-            let leaving = !self.shared.placement().is_start_ready(&self.start, now_ms);
-            if !leaving && !self.shared.is_stopping() {
-                self.shared.crashes.record_end(&self.start, &self.segments);
-            }
-            let ids = self
-                .segments
-                .iter()
-                .map(|segment| format!("{:x}", segment.id));
-            let segments = ids.collect::<Vec<_>>().join(",");
-            let id = self.request_id.as_str();
-            let server = self.start.server.as_str();
-            log::info!(id, server, segments = segments.as_str(); "server closed the connection during a request");
+        if !err.closed_by_server {
+            return;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        let leaving = !self.shared.placement().is_start_ready(&self.start, now_ms);
+        if !leaving && !self.shared.is_stopping() {
+            self.shared.crashes.record_end(&self.start, &self.parts);
         }
+        let hashes = |whole: bool| {
+            let parts = self.parts.iter().filter(|part| part.is_whole() == whole);
+            let hashes = parts.map(|part| format!("{:x}", part.id));
+            hashes.collect::<Vec<_>>().join(",")
+        };
+        let (segments, request) = (hashes(false), hashes(true));
+        let id = self.request_id.as_str();
+        let server = self.start.server.as_str();
+        log::info!(id, server, segments = segments.as_str(), request = request.as_str(); "server closed the connection during a request");
     }
 }
 
@@ -269,7 +270,7 @@
             request_id: cx.id().to_owned(),
             start: ServerStart::from(&selected.server),
             demand,
-            segments: cx.metadata.prompt.shared_segments(),
+            parts: cx.parts.clone(),
         };
         Self {
             in_flight,
@@ -425,9 +426,9 @@
             in_flight.end(AttemptOutcome::Neutral);
             return Err(error);
         }
-        if cx.is_prompt_blocked() {
+        if cx.is_blocked() {
             in_flight.end(AttemptOutcome::Neutral);
-            return Err(AttemptError::NotRun("prompt-blocked"));
+            return Err(AttemptError::NotRun("blocked"));
         }
         let remaining = cx.time_remaining();
         if remaining.as_millis() < MIN_USEFUL_MS {
@@ -515,12 +516,18 @@
         }
     }
 
-    /// Records that the server has answered the request's prompt.
+    /// Records that the server has answered the request.
     pub(super) fn record_answer(&self) {
-        if !self.in_flight.segments.is_empty() {
-            let shared = &self.in_flight.shared;
-            shared.crashes.record_answer(&self.in_flight.segments);
-        }
+        let shared = &self.in_flight.shared;
+        shared.crashes.record_answer(&self.in_flight.parts);
+    }
+
+    /// Records that the server has run the request to an error of its own, which says
+    /// nothing of the segments of its prompt.
+    pub(super) fn record_error_answer(&self) {
+        let parts = self.in_flight.parts.iter().filter(|part| part.is_whole());
+        let parts: Vec<RequestPart> = parts.copied().collect();
+        self.in_flight.shared.crashes.record_answer(&parts);
     }
 
     /// Records the time to the first byte of the body.
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -114,7 +114,7 @@
     async fn run(&mut self) -> Option<R::Output> {
         let mut provisional = None;
         let cx = self.cx;
-        let blocked = cx.wait_prompt_blocked();
+        let blocked = cx.wait_blocked();
         tokio::pin!(blocked);
         let silent = silence(self.reader.silence_limit(cx));
         tokio::pin!(silent);
@@ -154,7 +154,7 @@
                         cx.shared.metrics.record_retry(label);
                     }
                 }
-                // The prompt crashes a server at its first token: none is needed.
+                // The request crashes a server as it begins to run: no further one is needed.
                 () = &mut blocked => return None,
                 () = &mut silent => {
                     silent.set(silence(self.reader.silence_limit(cx)));
@@ -185,10 +185,7 @@
     /// whether it started.
     fn start(&mut self) -> bool {
         let cx = self.cx;
-        if cx.time_remaining().is_zero()
-            || !self.retry.permits_another(cx)
-            || cx.is_prompt_blocked()
-        {
+        if cx.time_remaining().is_zero() || !self.retry.permits_another(cx) || cx.is_blocked() {
             return false;
         }
         let Some(reservation) = self.retry.reserve_send(cx) else {
@@ -220,7 +217,7 @@
         self.retry.record_running(&first.server);
         let conditions = HedgeConditions {
             route_permits: !cx.time_remaining().is_zero()
-                && !cx.is_prompt_blocked()
+                && !cx.is_blocked()
                 && self.retry.permits_another(cx),
             router_short: shared.is_short_of_capacity(),
             retries_left: {
--- a/crates/peridotslip-edge/src/dispatch/retry.rs
+++ b/crates/peridotslip-edge/src/dispatch/retry.rs
@@ -192,7 +192,7 @@
 
     /// Returns whether the route permits another attempt beside or after those
     /// recorded: always if no server can have run the request. Once servers have
-    /// crashed under its prompt, no further one gets it.
+    /// crashed under it, no further one gets it.
     pub(super) fn permits_another(&self, cx: &RequestContext) -> bool {
         if self.executed.is_empty() {
             return true;
@@ -201,7 +201,7 @@
         route.is_some_and(|route| {
             route.is_retry_safe()
                 && self.executed.len() < route.max_attempts as usize
-                && !cx.is_prompt_suspect()
+                && !cx.is_suspect()
         })
     }
 
@@ -231,10 +231,10 @@
     pub(super) fn rejection(&self, cx: &RequestContext) -> Rejection {
         let after_ms = cx.shared.settings().timing.retry_after_ms;
         let late = cx.time_remaining().is_zero();
-        if cx.is_prompt_blocked() {
+        if let Some(part) = cx.blocked_part().filter(|_| !cx.is_probe) {
             return match self.executed.len() {
-                0 => Rejection::after(RejectionReason::PromptBlocked, BLOCKED_RETRY_MS),
-                _ => Rejection::new(RejectionReason::PromptStopped),
+                0 => Rejection::after(RejectionReason::blocked(part), BLOCKED_RETRY_MS),
+                _ => Rejection::new(RejectionReason::stopped(part)),
             };
         }
         if self.executed.is_empty() && !late {
--- a/crates/peridotslip-edge/src/dispatch/stream.rs
+++ b/crates/peridotslip-edge/src/dispatch/stream.rs
@@ -340,6 +340,9 @@
     let error = match tokio::time::timeout(cx.time_remaining(), body).await {
         Ok(Ok(body)) => {
             let response = head(&from_server).map(|()| body);
+            if from_server.framed {
+                from_server.record_error_answer();
+            }
             from_server.complete();
             return Ok(response);
         }
--- a/crates/peridotslip-edge/src/dispatch/whole.rs
+++ b/crates/peridotslip-edge/src/dispatch/whole.rs
@@ -64,8 +64,11 @@
         *response.headers_mut() = end_to_end_headers(&from_server.headers);
         let served_by = ServedBy(from_server.server.clone());
         response.extensions_mut().insert(served_by);
-        if from_server.status.is_success() {
-            from_server.record_answer();
+        // The end of a body without framing may be that of a server that has crashed.
+        match (from_server.status.is_success(), from_server.framed) {
+            (_, false) => {}
+            (true, true) => from_server.record_answer(),
+            (false, true) => from_server.record_error_answer(),
         }
         from_server.complete();
         if response.status().is_server_error() {
--- a/crates/peridotslip-edge/src/filters.rs
+++ b/crates/peridotslip-edge/src/filters.rs
@@ -1,7 +1,7 @@
 //! The filters that are applied to a complete request before it is dispatched, and the
 //! match of its head against the table.
 
-mod crashing_prompt;
+mod crashing_request;
 mod reserve;
 mod route;
 
@@ -29,7 +29,7 @@
         Arc::new(Self {
             filters: vec![
                 Box::new(route::PickService),
-                Box::new(crashing_prompt::RejectCrashingPrompt),
+                Box::new(crashing_request::RejectCrashingRequest),
                 Box::new(reserve::ReserveTokens),
             ],
         })
--- a/crates/peridotslip-edge/src/filters/route.rs
+++ b/crates/peridotslip-edge/src/filters/route.rs
@@ -1,7 +1,6 @@
 //! Finds the route and organisation of a request, and the service that gets it.
 
 use async_trait::async_trait;
-use http::header;
 use peridotslip::forwarding::{RouteMatch, RoutingRule, home_data_centres};
 
 use super::Filter;
@@ -12,14 +11,6 @@
 
 pub(super) struct PickService;
 
-/// Returns the host to which the request is addressed.
-fn host(cx: &RequestContext) -> Option<&str> {
-    match cx.uri.authority() {
-        Some(authority) => Some(authority.as_str()),
-        None => cx.headers.get(header::HOST)?.to_str().ok(),
-    }
-}
-
 /// Returns `picked` if evacuations and home regions leave it a server, otherwise
 /// another of the route's services. Rejects the request if they leave none.
 fn pick_reachable(
@@ -51,7 +42,7 @@
         let after_ms = cx.shared.settings().timing.retry_after_ms;
         return Err(Rejection::after(RejectionReason::NotConfigured, after_ms));
     }
-    let host = host(cx).unwrap_or("");
+    let host = cx.host().unwrap_or("");
     let reason = match cx
         .index
         .lookup(host, cx.uri.path(), cx.metadata.api_key.as_deref())
--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -202,6 +202,7 @@
         data_centres: None,
         reservation: None,
         link_ticket: None,
+        parts: Vec::new(),
         is_probe: false,
     };
     let id = cx.id().to_owned();
@@ -211,7 +212,10 @@
     connection.set_complete(request_length(&cx));
     let must_close = received.is_err();
     let filtered = match received {
-        Ok(Ok(())) => chain.apply(&mut cx).await,
+        Ok(Ok(())) => {
+            cx.set_parts();
+            chain.apply(&mut cx).await
+        }
         Ok(Err(rejection)) => Err(rejection),
         Err(rejection) => {
             // The rest of the body is not read, so no further head can follow.
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -1,6 +1,7 @@
 //! Why the router rejects a request.
 
 use http::StatusCode;
+use peridotslip::forwarding::RequestPart;
 
 /// Why the router rejects a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +57,11 @@
     /// The request was given up because servers have crashed under a segment of
     /// its prompt; a server may have run it.
     PromptStopped,
+    /// Servers have crashed under the same request, and it was not sent.
+    RequestBlocked,
+    /// The request was given up because servers have crashed under the same request; a
+    /// server may have run it.
+    RequestStopped,
     /// None of the servers to which attempts were made could be reached.
     ServersUnreachable,
     /// A server may have run the request, and no complete response was
@@ -68,6 +74,24 @@
 }
 
 impl RejectionReason {
+    /// Returns the reason for which a request with a blocked part was not sent.
+    pub(crate) fn blocked(part: RequestPart) -> Self {
+        if part.is_whole() {
+            Self::RequestBlocked
+        } else {
+            Self::PromptBlocked
+        }
+    }
+
+    /// Returns the reason for which a request with a blocked part was given up.
+    pub(crate) fn stopped(part: RequestPart) -> Self {
+        if part.is_whole() {
+            Self::RequestStopped
+        } else {
+            Self::PromptStopped
+        }
+    }
+
     /// Returns the reason's label in responses, logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -93,6 +117,8 @@
             Self::ServersLimited => "servers-limited",
             Self::PromptBlocked => "prompt-blocked",
             Self::PromptStopped => "prompt-stopped",
+            Self::RequestBlocked => "request-blocked",
+            Self::RequestStopped => "request-stopped",
             Self::ServersUnreachable => "servers-unreachable",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
@@ -125,9 +151,12 @@
             | Self::ServersResting
             | Self::ServersLimited
             | Self::PromptBlocked
+            | Self::RequestBlocked
             | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
-            Self::ServerBroke | Self::PromptStopped => StatusCode::BAD_GATEWAY,
+            Self::ServerBroke | Self::PromptStopped | Self::RequestStopped => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/peridotslip-edge/src/request_body.rs
+++ b/crates/peridotslip-edge/src/request_body.rs
@@ -201,6 +201,11 @@
 }
 
 impl RequestContent {
+    /// Returns the content, in pieces.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = &[u8]> {
+        self.parts.iter().map(AsRef::as_ref)
+    }
+
     /// Returns the number of bytes.
     pub(crate) fn len(&self) -> usize {
         self.len
--- a/crates/peridotslip/src/forwarding.rs
+++ b/crates/peridotslip/src/forwarding.rs
@@ -5,7 +5,7 @@
 //! The types in this module do no I/O: [`RoutingIndex`] matches a request to a
 //! route, [`Placement`] selects a backend server, [`RetryBudget`] bounds
 //! retries, [`StreamOrigins`] holds at which software versions streams began,
-//! [`CrashEvidence`] finds prompts that crash servers, [`RateLimits`] holds how many
+//! [`CrashEvidence`] finds requests that crash servers, [`RateLimits`] holds how many
 //! requests servers take from all routers together, [`Warmups`] which servers are
 //! cold, [`Evacuations`] which data centres are evacuated, [`Hedging`] decides on second
 //! attempts of slow requests, [`HedgePools`] holds those that routers pool, and [`ConcurrencyLimiter`](crate::admission::ConcurrencyLimiter)
@@ -17,6 +17,7 @@
 mod engine_memory;
 mod engine_rates;
 mod evacuation;
+mod fingerprint;
 mod freshness;
 mod hedge_pool;
 mod hedging;
@@ -37,11 +38,12 @@
 pub use self::{
     connection_share::connection_share,
     crash_evidence::{
-        BlockChange, CrashEvent, CrashEvidence, CrashObservation, ObservationOrigin, PromptVerdict,
+        BlockChange, CrashEvent, CrashEvidence, CrashObservation, CrashVerdict, ObservationOrigin,
     },
     engine_memory::MemoryDemand,
     engine_rates::ServiceRate,
     evacuation::{EvacuationChanges, Evacuations, RESTORED_EVACUATION_MS},
+    fingerprint::RequestFingerprint,
     freshness::{MIN_APPLY_WITHIN_MS, TableFreshness, TableProof, TableTiming},
     hedge_pool::{HedgePools, PoolAsk, PoolReply},
     hedging::{
@@ -58,8 +60,8 @@
     rest::{MAX_REST_MS, Rest},
     retry_budget::RetryBudget,
     server::{
-        AttemptOutcome, LoadReport, PromptProfile, PromptSegment, ServerEntry, ServerId,
-        ServerStart, ServerState,
+        AttemptOutcome, LoadReport, PromptProfile, RequestPart, ServerEntry, ServerId, ServerStart,
+        ServerState,
     },
     stored_origins::{
         MAX_BATCH_RECORDS, OriginKey, OriginQueue, OriginRecord, OriginRing, QueuedOrigin,
--- a/crates/peridotslip/src/forwarding/crash_evidence.rs
+++ b/crates/peridotslip/src/forwarding/crash_evidence.rs
@@ -1,10 +1,11 @@
-//! Evidence about prompts that crash servers.
+//! Evidence about requests that crash servers.
 //!
 //! A server that crashes ends all its connections, so that requests beside the
-//! one at fault end as well. Each such end accuses all segments that the prompts
-//! in flight there share with other requests. Two things tell the segment at
-//! fault from the others: an answer acquits the segments of its prompt, and the
-//! segment that explains most crashes takes them away from all others.
+//! one at fault end as well. Each such end accuses what the requests in flight there
+//! have in common with others: the segments of their prompts, and each request as a whole,
+//! which may come again under another ID. Two things tell the part at
+//! fault from the others: an answer acquits the parts of its request, and the
+//! part that explains most crashes takes them away from all others.
 //!
 //! Routers pool their observations. Each one assesses all of them alone, so no
 //! router decides for others. Times are in milliseconds of the router's own
@@ -18,18 +19,20 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{PromptProfile, PromptSegment, ServerStart};
+use super::{RequestPart, ServerStart};
 
-/// Crashes after the last answer for which a segment's prompts are blocked.
+/// Crashes after the last answer for which requests with a segment are blocked.
 const CRASHES_TO_BLOCK: usize = 4;
-/// Crashes after the last answer from which on a request with the segment gets
+/// The same for a request as a whole. Fewer are needed, as nothing else is blocked.
+const CRASHES_TO_BLOCK_REQUEST: usize = 3;
+/// Crashes after the last answer from which on a request with the part gets
 /// no second attempt.
 const CRASHES_TO_SUSPECT: usize = 2;
 /// Crashes within this time count as one, in milliseconds: a prompt does not
 /// crash several servers at once, a loss of power does.
 const SIMULTANEOUS_MS: u64 = 50;
-/// Time after the decisive crash before the segment is blocked, in
-/// milliseconds. Answers that acquit a segment may be on their way.
+/// Time after the decisive crash before the part is blocked, in
+/// milliseconds. Answers that acquit a part may be on their way.
 const SETTLE_MS: u64 = 250;
 /// How long observations are kept, in milliseconds.
 const RETENTION_MS: u64 = 2 * 60 * 60 * 1_000;
@@ -38,13 +41,20 @@
 const REVIEW_MS: u64 = 60 * 1_000;
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of segments that are kept for a crash.
-const MAX_ACCUSED: usize = 256;
+/// Maximum number of parts that are kept for a crash.
+const MAX_CHARGES: usize = 512;
+/// Maximum number of accused parts whose last crash is known.
+const MAX_ACCUSED: usize = 16_384;
 /// Maximum number of segments whose last answer is known.
-const MAX_ANSWERED: usize = 4_096;
+const MAX_ANSWERED_SEGMENTS: usize = 4_096;
+/// The same for whole requests, which are more.
+const MAX_ANSWERED_REQUESTS: usize = 16_384;
+/// Maximum number of requests in a second whose ends accuse them as a whole. Servers may
+/// close any number of connections without a crash.
+const MAX_ENDS_PER_S: u32 = 512;
 /// Maximum number of observations that are kept for peers.
 const MAX_OUTGOING: usize = 1_024;
-/// A later crash under a blocked segment is a failed probe from this time on
+/// A later crash under a blocked part is a failed probe from this time on
 /// after the decisive crash, in milliseconds. Earlier ones are requests that were
 /// on their way.
 const PROBES_FROM_MS: u64 = 30 * 1_000;
@@ -70,56 +80,84 @@
     pub event: CrashEvent,
 }
 
-/// An event that accuses or acquits prompt segments.
+/// An event that accuses or acquits parts of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CrashEvent {
-    /// A start of a server has ended requests with these segments.
+    /// A start of a server has ended requests with these parts.
     Ended {
         /// The server's start.
         start: ServerStart,
-        /// Segments of the requests' prompts.
-        segments: Vec<PromptSegment>,
+        /// Parts of the requests.
+        segments: Vec<RequestPart>,
     },
-    /// A server has answered a prompt with the segment of this hash.
+    /// A server has answered a request with the part of this hash.
     Answered(u64),
 }
 
-/// What the evidence says of a prompt.
+/// What the evidence says of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PromptVerdict {
-    /// The prompt may be sent.
+pub enum CrashVerdict {
+    /// The request may be sent.
     Clear,
-    /// The prompt may be sent once: servers have crashed under one of its
-    /// segments.
+    /// The request may be sent once: servers have crashed under one of its
+    /// parts.
     Suspect,
-    /// The prompt must not be sent, because of the segment with this hash.
+    /// The request must not be sent, because of the part with this hash.
     Blocked(u64),
 }
 
-/// A change of the blocked segments.
+/// A change of the blocked parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BlockChange {
-    /// Prompts with the segment are blocked from now on.
+    /// Requests with the part are blocked from now on.
     Blocked {
-        /// The segment's hash.
-        segment: u64,
-        /// Crashes under the segment since its last answer.
+        /// The part.
+        part: RequestPart,
+        /// Crashes under the part since its last answer.
         crashes: usize,
     },
-    /// Prompts with the segment of this hash are no longer blocked.
+    /// Requests with the part of this hash are no longer blocked.
     Released(u64),
 }
 
+/// The end of a request that accuses one of its parts.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    at_ms: u64,
+    position: u32,
+}
+
 /// The end of one start of a server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Crash {
-    at_ms: u64,
-    /// The accused segments' hashes and positions.
-    segments: BTreeMap<u64, u32>,
+    /// When the last request ended.
+    last_ms: u64,
+    /// The accused parts by their hashes.
+    charges: BTreeMap<u64, Charge>,
 }
 
-/// The crashes since a segment's last answer that no other segment explains.
+impl Crash {
+    /// Makes room for another charge, without one of `culprits`.
+    fn make_room(&mut self, culprits: &HashMap<u64, Culprit>) {
+        if self.charges.len() < MAX_CHARGES {
+            return;
+        }
+        let charges = self.charges.iter();
+        let others = charges.filter(|(part, _)| !culprits.contains_key(part));
+        let oldest = others.min_by_key(|(_, charge)| charge.at_ms);
+        if let Some(part) = oldest.map(|(part, _)| *part) {
+            self.charges.remove(&part);
+        }
+    }
+
+    /// Returns whether one of `culprits` explains the crash.
+    fn is_explained(&self, culprits: &HashMap<u64, Culprit>) -> bool {
+        culprits.keys().any(|part| self.charges.contains_key(part))
+    }
+}
+
+/// The crashes since a part's last answer that no other part explains.
 #[derive(Clone, Debug, Default)]
 struct Accusation {
     crashes_ms: Vec<u64>,
@@ -142,21 +180,70 @@
         }
         distinct
     }
+
+    /// Returns the number of crashes for which requests with the part are blocked.
+    fn crashes_to_block(&self) -> usize {
+        let part = RequestPart {
+            id: 0,
+            position: self.position,
+        };
+        if part.is_whole() {
+            CRASHES_TO_BLOCK_REQUEST
+        } else {
+            CRASHES_TO_BLOCK
+        }
+    }
 }
 
-/// A segment under which too many servers have crashed.
+/// A part under which too many servers have crashed.
 #[derive(Clone, Copy, Debug)]
 struct Culprit {
+    position: u32,
     crashes: usize,
     blocked: bool,
     last_crash_ms: u64,
     failed_probes: u32,
 }
 
-/// What a router has told its peers about an accused segment.
+/// The last answers to requests with a part, of the newest `max` parts.
+#[derive(Clone, Debug)]
+struct LastAnswers {
+    at_ms: HashMap<u64, u64>,
+    max: usize,
+}
+
+impl LastAnswers {
+    fn new(max: usize) -> Self {
+        Self {
+            at_ms: HashMap::new(),
+            max,
+        }
+    }
+
+    fn record(&mut self, part: u64, at_ms: u64) {
+        let last_ms = self.at_ms.entry(part).or_insert(at_ms);
+        *last_ms = at_ms.max(*last_ms);
+        if self.at_ms.len() > self.max {
+            discard_oldest_quarter(&mut self.at_ms, |at_ms| *at_ms);
+        }
+    }
+}
+
+/// Discards a quarter of the entries, or more of the same time.
+fn discard_oldest_quarter<T>(entries: &mut HashMap<u64, T>, time_ms: impl Fn(&T) -> u64) {
+    let mut times: Vec<u64> = entries.values().map(&time_ms).collect();
+    times.sort_unstable();
+    let Some(newest_discarded) = times.get(times.len() / 4) else {
+        return;
+    };
+    entries.retain(|_, entry| time_ms(entry) > *newest_discarded);
+}
+
+/// What a router has told its peers about an accused part.
 #[derive(Clone, Copy, Debug, Default)]
 struct Accused {
     last_crash_ms: u64,
+    is_whole: bool,
     /// The last answer that was logged for peers.
     shared_answer_ms: Option<u64>,
 }
@@ -181,12 +268,17 @@
 }
 
 /// The observations of all routers and what follows from them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CrashEvidence {
     crashes: BTreeMap<ServerStart, Crash>,
-    /// The last answer to a prompt with a segment, by the segment's hash.
-    answered_ms: HashMap<u64, u64>,
+    /// The last answers to prompts with a segment.
+    answered_segments: LastAnswers,
+    /// The last answers to whole requests.
+    answered_requests: LastAnswers,
     accused: HashMap<u64, Accused>,
+    /// The second of the last end, and the number of ends in it that accused a request as
+    /// a whole.
+    ends: (u64, u32),
     /// What this router sends its peers.
     outgoing: VecDeque<OutgoingObservation>,
     next_seq: u64,
@@ -200,11 +292,36 @@
     review_at_ms: u64,
 }
 
+impl Default for CrashEvidence {
+    fn default() -> Self {
+        Self {
+            crashes: BTreeMap::new(),
+            answered_segments: LastAnswers::new(MAX_ANSWERED_SEGMENTS),
+            answered_requests: LastAnswers::new(MAX_ANSWERED_REQUESTS),
+            accused: HashMap::new(),
+            ends: (0, 0),
+            outgoing: VecDeque::new(),
+            next_seq: 0,
+            culprits: HashMap::new(),
+            suspects: HashSet::new(),
+            probes_ms: HashMap::new(),
+            stale: false,
+            review_at_ms: 0,
+        }
+    }
+}
+
 impl CrashEvidence {
-    /// Records that a server's start has ended a request with `segments`.
-    pub fn record_end(&mut self, start: &ServerStart, segments: &[PromptSegment], now_ms: u64) {
+    /// Records that a server's start has ended a request with `parts`.
+    pub fn record_end(&mut self, start: &ServerStart, parts: &[RequestPart], now_ms: u64) {
         let now_ms = shifted(now_ms);
-        let added = self.add_end(start, segments, now_ms);
+        let accuses_whole = self.count_end(now_ms);
+        let parts: Vec<RequestPart> = parts
+            .iter()
+            .filter(|part| accuses_whole || !part.is_whole())
+            .copied()
+            .collect();
+        let added = self.add_end(start, &parts, now_ms);
         if !added.is_empty() {
             let event = CrashEvent::Ended {
                 start: start.clone(),
@@ -214,14 +331,26 @@
         }
     }
 
-    /// Records that a server has answered a prompt with `segments`.
-    pub fn record_answer(&mut self, segments: &[PromptSegment], now_ms: u64) {
+    /// Counts the end of a request. Returns whether it accuses the request as a whole.
+    fn count_end(&mut self, now_ms: u64) -> bool {
+        let second = now_ms / 1_000;
+        let count = match self.ends {
+            (last, count) if last == second => count,
+            _ => 0,
+        };
+        let accuses = count < MAX_ENDS_PER_S;
+        self.ends = (second, count + u32::from(accuses));
+        accuses
+    }
+
+    /// Records that a server has answered a request with `parts`.
+    pub fn record_answer(&mut self, parts: &[RequestPart], now_ms: u64) {
         let now_ms = shifted(now_ms);
-        for segment in segments {
-            self.add_answer(segment.id, now_ms);
-            if self.mark_shared(segment.id, now_ms) {
+        for part in parts {
+            self.add_answer(part.id, part.is_whole(), now_ms);
+            if self.mark_shared(part.id, now_ms) {
                 self.log(
-                    CrashEvent::Answered(segment.id),
+                    CrashEvent::Answered(part.id),
                     ObservationOrigin::Local,
                     now_ms,
                 );
@@ -229,7 +358,14 @@
         }
     }
 
-    /// Returns whether peers lack an answer after the last crash under a segment, and
+    /// Returns the time of the last answer to a request with a part.
+    fn answered_ms(&self, part: u64) -> Option<u64> {
+        let segment_ms = self.answered_segments.at_ms.get(&part).copied();
+        let request_ms = self.answered_requests.at_ms.get(&part).copied();
+        segment_ms.max(request_ms)
+    }
+
+    /// Returns whether peers lack an answer after the last crash under a part, and
     /// notes that they are sent the one at `at_ms`.
     fn mark_shared(&mut self, segment: u64, at_ms: u64) -> bool {
         let Some(accused) = self.accused.get_mut(&segment) else {
@@ -262,7 +398,9 @@
                     (!segments.is_empty()).then_some(CrashEvent::Ended { start, segments })
                 }
                 CrashEvent::Answered(segment) => {
-                    self.add_answer(*segment, at_ms);
+                    let accused = self.accused.get(segment);
+                    let is_whole = accused.is_some_and(|accused| accused.is_whole);
+                    self.add_answer(*segment, is_whole, at_ms);
                     let is_unshared = self.mark_shared(*segment, at_ms);
                     is_unshared.then_some(CrashEvent::Answered(*segment))
                 }
@@ -298,52 +436,52 @@
         self.next_seq
     }
 
-    /// Returns all that is known about accused segments, for a router that starts.
+    /// Returns all that is known about accused parts, for a router that starts.
     #[must_use]
     pub fn snapshot(&self, now_ms: u64) -> Vec<CrashObservation> {
         let now_ms = shifted(now_ms);
         let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
-        let ended = self.crashes.iter().map(|(start, crash)| CrashObservation {
-            age_ms: age_ms(crash.at_ms),
-            event: CrashEvent::Ended {
-                start: start.clone(),
-                segments: crash
-                    .segments
-                    .iter()
-                    .map(|(&id, &position)| PromptSegment { id, position })
-                    .collect(),
-            },
+        let ended = self.crashes.iter().flat_map(|(start, crash)| {
+            let mut by_time: BTreeMap<u64, Vec<RequestPart>> = BTreeMap::new();
+            for (&id, &Charge { at_ms, position }) in &crash.charges {
+                let parts = by_time.entry(at_ms).or_default();
+                parts.push(RequestPart { id, position });
+            }
+            by_time
+                .into_iter()
+                .map(move |(at_ms, segments)| CrashObservation {
+                    age_ms: age_ms(at_ms),
+                    event: CrashEvent::Ended {
+                        start: start.clone(),
+                        segments,
+                    },
+                })
         });
-        let answered = self
-            .answered_ms
-            .iter()
-            .filter(|(segment, _)| self.accused.contains_key(segment));
-        let answered = answered.map(|(segment, at_ms)| CrashObservation {
-            age_ms: age_ms(*at_ms),
-            event: CrashEvent::Answered(*segment),
+        let answered = self.accused.keys().filter_map(|part| {
+            Some(CrashObservation {
+                age_ms: age_ms(self.answered_ms(*part)?),
+                event: CrashEvent::Answered(*part),
+            })
         });
         ended.chain(answered).collect()
     }
 
-    /// Returns what the evidence said of a prompt at the last assessment.
+    /// Returns what the evidence said of a request with `parts` at the last assessment.
     #[must_use]
-    pub fn verdict(&self, prompt: &PromptProfile) -> PromptVerdict {
+    pub fn verdict(&self, parts: &[RequestPart]) -> CrashVerdict {
         if self.suspects.is_empty() && self.culprits.is_empty() {
-            return PromptVerdict::Clear;
+            return CrashVerdict::Clear;
         }
-        let segments = prompt.shared_segments();
-        let verdicts = segments
-            .iter()
-            .map(|segment| match self.culprits.get(&segment.id) {
-                Some(culprit) if culprit.blocked => PromptVerdict::Blocked(segment.id),
-                Some(_) => PromptVerdict::Suspect,
-                None if self.suspects.contains(&segment.id) => PromptVerdict::Suspect,
-                None => PromptVerdict::Clear,
-            });
-        verdicts.max().unwrap_or(PromptVerdict::Clear)
+        let verdicts = parts.iter().map(|part| match self.culprits.get(&part.id) {
+            Some(culprit) if culprit.blocked => CrashVerdict::Blocked(part.id),
+            Some(_) => CrashVerdict::Suspect,
+            None if self.suspects.contains(&part.id) => CrashVerdict::Suspect,
+            None => CrashVerdict::Clear,
+        });
+        verdicts.max().unwrap_or(CrashVerdict::Clear)
     }
 
-    /// Returns whether a request with a blocked segment may be sent to learn
+    /// Returns whether a request with a blocked part may be sent to learn
     /// whether it still crashes servers, and counts it if so.
     pub fn begin_probe(&mut self, segment: u64, now_ms: u64) -> bool {
         let now_ms = shifted(now_ms);
@@ -360,67 +498,67 @@
         due
     }
 
-    /// Assesses all observations. Returns which segments are blocked or released
+    /// Assesses all observations. Returns which parts are blocked or released
     /// because of it.
     pub fn assess(&mut self, now_ms: u64) -> Vec<BlockChange> {
         let now_ms = shifted(now_ms);
         if !self.stale && now_ms < self.review_at_ms {
             return Vec::new();
         }
-        self.stale = false;
         self.review_at_ms = now_ms + REVIEW_MS;
         self.discard_old(now_ms);
-        let mut unexplained: Vec<(u64, BTreeMap<u64, u32>)> = self
-            .crashes
-            .values()
-            .map(|crash| (crash.at_ms, crash.segments.clone()))
-            .collect();
+        let mut unsettled = false;
+        let mut unexplained: Vec<&Crash> = self.crashes.values().collect();
         let mut culprits = HashMap::new();
         let mut accusations = accusations(&unexplained);
-        while let Some((segment, times)) = self.most_accused(&accusations) {
-            let Some(decisive_ms) = times.get(CRASHES_TO_BLOCK - 1) else {
-                break;
-            };
+        while let Some((part, accusation, times)) = self.most_accused(&accusations) {
+            let decisive_ms = times[accusation.crashes_to_block() - 1];
             let blocked = now_ms >= decisive_ms + SETTLE_MS;
-            self.stale |= !blocked;
+            unsettled |= !blocked;
             let probes = times
                 .iter()
                 .filter(|at_ms| **at_ms > decisive_ms + PROBES_FROM_MS);
             let culprit = Culprit {
+                position: accusation.position,
                 crashes: times.len(),
                 blocked,
                 last_crash_ms: times.last().copied().unwrap_or(0),
                 failed_probes: u32::try_from(probes.count()).unwrap_or(u32::MAX),
             };
-            culprits.insert(segment, culprit);
-            unexplained.retain(|(_, segments)| !segments.contains_key(&segment));
+            culprits.insert(part, culprit);
+            unexplained.retain(|crash| !crash.charges.contains_key(&part));
             accusations = self::accusations(&unexplained);
         }
+        self.stale = unsettled;
         self.suspects = accusations
             .iter()
             .filter(|(_, accusation)| accusation.distinct_ms().len() >= CRASHES_TO_SUSPECT)
-            .map(|(segment, _)| *segment)
+            .map(|(part, _)| *part)
             .collect();
         let before = std::mem::replace(&mut self.culprits, culprits);
         self.changes_since(&before)
     }
 
-    /// Returns the segment that explains most crashes and the times of these. Of
-    /// several, the one whose last answer is longest ago, or the most specific.
-    fn most_accused(&self, accusations: &HashMap<u64, Accusation>) -> Option<(u64, Vec<u64>)> {
-        let ranked = accusations.iter().map(|(segment, accusation)| {
-            let answered_ms = self.answered_ms.get(segment).copied();
+    /// Returns the part that explains most crashes, of those that explain enough to be
+    /// blocked, and the times of these. Of several, the one whose last answer is longest
+    /// ago, or the most specific.
+    fn most_accused<'a>(
+        &self,
+        accusations: &'a HashMap<u64, Accusation>,
+    ) -> Option<(u64, &'a Accusation, Vec<u64>)> {
+        let ranked = accusations.iter().filter_map(|(part, accusation)| {
             let times = accusation.distinct_ms();
             let rank = (
                 times.len(),
-                Reverse(answered_ms),
+                Reverse(self.answered_ms(*part)),
                 accusation.position,
-                *segment,
+                *part,
             );
-            (rank, times)
+            let enough = times.len() >= accusation.crashes_to_block();
+            enough.then_some((rank, accusation, times))
         });
-        let ((_, _, _, segment), times) = ranked.max_by_key(|(rank, _)| *rank)?;
-        Some((segment, times))
+        let ((_, _, _, part), accusation, times) = ranked.max_by_key(|(rank, _, _)| *rank)?;
+        Some((part, accusation, times))
     }
 
     fn changes_since(&self, before: &HashMap<u64, Culprit>) -> Vec<BlockChange> {
@@ -435,8 +573,11 @@
             .culprits
             .iter()
             .filter(|(segment, culprit)| culprit.blocked && !was_blocked(segment));
-        let blocked = blocked.map(|(segment, culprit)| BlockChange::Blocked {
-            segment: *segment,
+        let blocked = blocked.map(|(id, culprit)| BlockChange::Blocked {
+            part: RequestPart {
+                id: *id,
+                position: culprit.position,
+            },
             crashes: culprit.crashes,
         });
         let released = before
@@ -447,72 +588,79 @@
             .collect()
     }
 
-    /// Adds an end and returns the segments that were not known for it.
+    /// Adds an end and returns the parts that were not known for it.
     fn add_end(
         &mut self,
         start: &ServerStart,
-        segments: &[PromptSegment],
+        parts: &[RequestPart],
         at_ms: u64,
-    ) -> Vec<PromptSegment> {
-        let crash = self.crashes.entry(start.clone()).or_insert_with(|| Crash {
-            at_ms,
-            segments: BTreeMap::new(),
-        });
-        crash.at_ms = crash.at_ms.min(at_ms);
-        let crash_ms = crash.at_ms;
+    ) -> Vec<RequestPart> {
         let mut added = Vec::new();
-        let answered_ms = &self.answered_ms;
-        for segment in segments {
-            let is_acquitted = answered_ms.get(&segment.id) > Some(&crash_ms);
-            if !is_acquitted
-                && crash.segments.len() < MAX_ACCUSED
-                && !crash.segments.contains_key(&segment.id)
-            {
-                crash.segments.insert(segment.id, segment.position);
-                added.push(*segment);
+        let mut crash = self.crashes.remove(start).unwrap_or_default();
+        crash.last_ms = crash.last_ms.max(at_ms);
+        for part in parts {
+            if self.answered_ms(part.id) > Some(at_ms) {
+                continue;
+            }
+            if let Some(known) = crash.charges.get_mut(&part.id) {
+                known.at_ms = known.at_ms.min(at_ms);
+                continue;
             }
+            crash.make_room(&self.culprits);
+            let charge = Charge {
+                at_ms,
+                position: part.position,
+            };
+            crash.charges.insert(part.id, charge);
+            added.push(*part);
         }
-        for segment in &added {
-            self.accuse(segment.id, crash_ms);
+        self.crashes.insert(start.clone(), crash);
+        for part in &added {
+            self.accuse(*part, at_ms);
         }
         self.stale = true;
         if self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at_ms);
-            if let Some(start) = oldest.map(|(start, _)| start.clone()) {
+            let culprits = &self.culprits;
+            let crashes = self.crashes.iter();
+            let least =
+                crashes.min_by_key(|(_, crash)| (crash.is_explained(culprits), crash.last_ms));
+            if let Some(start) = least.map(|(start, _)| start.clone()) {
                 self.crashes.remove(&start);
             }
         }
         added
     }
 
-    /// Notes that a segment is accused, and has peers learn of its last answer
+    /// Notes that a part is accused, and has peers learn of its last answer
     /// before.
-    fn accuse(&mut self, segment: u64, at_ms: u64) {
-        let accused = self.accused.entry(segment).or_default();
+    fn accuse(&mut self, part: RequestPart, at_ms: u64) {
+        let answered_ms = self.answered_ms(part.id);
+        let accused = self.accused.entry(part.id).or_default();
         accused.last_crash_ms = accused.last_crash_ms.max(at_ms);
-        let answered_ms = self.answered_ms.get(&segment).copied();
+        accused.is_whole = part.is_whole();
         if answered_ms > accused.shared_answer_ms {
             accused.shared_answer_ms = answered_ms;
             if let Some(answered_ms) = answered_ms {
                 self.log(
-                    CrashEvent::Answered(segment),
+                    CrashEvent::Answered(part.id),
                     ObservationOrigin::Local,
                     answered_ms,
                 );
             }
         }
+        if self.accused.len() > MAX_ACCUSED {
+            discard_oldest_quarter(&mut self.accused, |accused| accused.last_crash_ms);
+        }
     }
 
-    fn add_answer(&mut self, segment: u64, at_ms: u64) {
-        let answered_ms = self.answered_ms.entry(segment).or_insert(at_ms);
-        *answered_ms = at_ms.max(*answered_ms);
-        self.stale |= self.accused.contains_key(&segment);
-        if self.answered_ms.len() > MAX_ANSWERED {
-            let mut times: Vec<u64> = self.answered_ms.values().copied().collect();
-            times.sort_unstable();
-            let oldest_quarter = times[times.len() / 4];
-            self.answered_ms.retain(|_, at_ms| *at_ms > oldest_quarter);
-        }
+    fn add_answer(&mut self, part: u64, is_whole: bool, at_ms: u64) {
+        let answers = if is_whole {
+            &mut self.answered_requests
+        } else {
+            &mut self.answered_segments
+        };
+        answers.record(part, at_ms);
+        self.stale |= self.accused.contains_key(&part);
     }
 
     fn log(&mut self, event: CrashEvent, origin: ObservationOrigin, at_ms: u64) {
@@ -528,21 +676,18 @@
         self.next_seq += 1;
     }
 
-    /// Discards what can't count any more: old observations, and segments that
+    /// Discards what can't count any more: old observations, and parts that
     /// were answered after a crash.
     fn discard_old(&mut self, now_ms: u64) {
         let is_recent = |at_ms: u64| now_ms < at_ms.saturating_add(RETENTION_MS);
-        let answered_ms = &self.answered_ms;
-        self.crashes.retain(|_, crash| is_recent(crash.at_ms));
-        for crash in self.crashes.values_mut() {
-            let at_ms = crash.at_ms;
-            let answered = |segment: &u64| {
-                answered_ms
-                    .get(segment)
-                    .is_some_and(|last_ms| *last_ms > at_ms)
-            };
-            crash.segments.retain(|segment, _| !answered(segment));
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.retain(|_, crash| is_recent(crash.last_ms));
+        for crash in crashes.values_mut() {
+            crash
+                .charges
+                .retain(|part, charge| self.answered_ms(*part) <= Some(charge.at_ms));
         }
+        self.crashes = crashes;
         self.accused
             .retain(|_, accused| is_recent(accused.last_crash_ms));
         self.outgoing.retain(|entry| is_recent(entry.at_ms));
@@ -550,15 +695,16 @@
     }
 }
 
-/// Returns each segment's accusation by these crashes.
-fn accusations(crashes: &[(u64, BTreeMap<u64, u32>)]) -> HashMap<u64, Accusation> {
+/// Returns the accusations of the parts that occur in enough of these crashes to make them
+/// suspect.
+fn accusations(crashes: &[&Crash]) -> HashMap<u64, Accusation> {
     let mut accusations: HashMap<u64, Accusation> = HashMap::new();
-    for (at_ms, segments) in crashes {
-        for (segment, position) in segments {
-            let accusation = accusations.entry(*segment).or_default();
-            accusation.crashes_ms.push(*at_ms);
-            accusation.position = accusation.position.max(*position);
-        }
+    let charges = crashes.iter().flat_map(|crash| &crash.charges);
+    for (part, charge) in charges {
+        let accusation = accusations.entry(*part).or_default();
+        accusation.crashes_ms.push(charge.at_ms);
+        accusation.position = accusation.position.max(charge.position);
     }
+    accusations.retain(|_, accusation| accusation.crashes_ms.len() >= CRASHES_TO_SUSPECT);
     accusations
 }
--- a/crates/peridotslip/src/forwarding/server.rs
+++ b/crates/peridotslip/src/forwarding/server.rs
@@ -103,11 +103,11 @@
 
     /// Returns the segments that other requests may share: all but the last.
     #[must_use]
-    pub fn shared_segments(&self) -> Vec<PromptSegment> {
+    pub fn shared_segments(&self) -> Vec<RequestPart> {
         let shared = self.segments.len().saturating_sub(1);
         let ids = self.segments.iter().take(shared).map(|(id, _)| *id);
         ids.zip(0..)
-            .map(|(id, position)| PromptSegment { id, position })
+            .map(|(id, position)| RequestPart { id, position })
             .collect()
     }
 
@@ -116,15 +116,37 @@
     }
 }
 
-/// A segment of a prompt that other requests may share.
+/// What other requests may have in common with a request: a segment of the prompt, or all
+/// that a server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptSegment {
-    /// The segment's hash.
+pub struct RequestPart {
+    /// The hash of the segment or of the whole request.
     pub id: u64,
-    /// The segment's position in the prompt, from 0.
+    /// The segment's position in the prompt, from 0. A whole request comes after all
+    /// positions, because nothing is more specific.
     pub position: u32,
 }
 
+impl RequestPart {
+    /// Position of a whole request.
+    const WHOLE: u32 = u32::MAX;
+
+    /// Returns the whole request with this hash.
+    #[must_use]
+    pub fn whole(id: u64) -> Self {
+        Self {
+            id,
+            position: Self::WHOLE,
+        }
+    }
+
+    /// Returns whether this is a whole request.
+    #[must_use]
+    pub fn is_whole(self) -> bool {
+        self.position == Self::WHOLE
+    }
+}
+
 /// How an attempt at a server ended, for the health record of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/crates/peridotslip/tests/crash_evidence.rs
+++ b/crates/peridotslip/tests/crash_evidence.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 
 use peridotslip::forwarding::{
-    BlockChange, CrashEvidence, ObservationOrigin, PromptProfile, PromptSegment, PromptVerdict,
-    ServerStart,
+    BlockChange, CrashEvidence, CrashVerdict, ObservationOrigin, PromptProfile, RequestFingerprint,
+    RequestPart, ServerStart,
 };
 use proptest::prelude::*;
 
@@ -27,9 +27,9 @@
     }
 }
 
-fn segments(ids: &[u64]) -> Vec<PromptSegment> {
+fn segments(ids: &[u64]) -> Vec<RequestPart> {
     let ids = ids.iter().copied().zip(0..);
-    ids.map(|(id, position)| PromptSegment { id, position })
+    ids.map(|(id, position)| RequestPart { id, position })
         .collect()
 }
 
@@ -57,19 +57,19 @@
     evidence.assess(now_ms);
 }
 
-fn verdict(evidence: &mut CrashEvidence, ids: &[u64], now_ms: u64) -> PromptVerdict {
+fn verdict(evidence: &mut CrashEvidence, ids: &[u64], now_ms: u64) -> CrashVerdict {
     evidence.assess(now_ms);
-    evidence.verdict(&prompt(ids))
+    evidence.verdict(&prompt(ids).shared_segments())
 }
 
 #[test]
 fn a_segment_is_suspect_after_two_crashes_and_blocked_after_four() {
     let expected = [
-        (0, PromptVerdict::Clear),
-        (1, PromptVerdict::Clear),
-        (2, PromptVerdict::Suspect),
-        (3, PromptVerdict::Suspect),
-        (4, PromptVerdict::Blocked(BAD)),
+        (0, CrashVerdict::Clear),
+        (1, CrashVerdict::Clear),
+        (2, CrashVerdict::Suspect),
+        (3, CrashVerdict::Suspect),
+        (4, CrashVerdict::Blocked(BAD)),
     ];
     for (count, expected) in expected {
         let mut evidence = crashed(&[FIRST, BAD], count);
@@ -88,12 +88,12 @@
     let before = verdict(&mut evidence, &[BAD], last_ms + 200);
     let changes = evidence.assess(last_ms + SETTLED_MS);
 
-    assert_eq!(before, PromptVerdict::Suspect);
+    assert_eq!(before, CrashVerdict::Suspect);
     let crashes = 4;
     assert_eq!(
         changes,
         [BlockChange::Blocked {
-            segment: BAD,
+            part: segments(&[BAD])[0],
             crashes
         }]
     );
@@ -109,7 +109,10 @@
 
     evidence.assess(2_000);
 
-    assert_eq!(evidence.verdict(&last), PromptVerdict::Clear);
+    assert_eq!(
+        evidence.verdict(&last.shared_segments()),
+        CrashVerdict::Clear
+    );
 }
 
 #[test]
@@ -121,14 +124,14 @@
         crash(&mut evidence, number, &[FIRST], 1_000 + number * 100);
         assert_ne!(
             verdict(&mut evidence, &[FIRST], 2_000),
-            PromptVerdict::Blocked(FIRST)
+            CrashVerdict::Blocked(FIRST)
         );
     }
     crash(&mut evidence, 6, &[FIRST], 1_600);
 
     assert_eq!(
         verdict(&mut evidence, &[FIRST], 2_000),
-        PromptVerdict::Blocked(FIRST)
+        CrashVerdict::Blocked(FIRST)
     );
 }
 
@@ -139,7 +142,7 @@
         crash(&mut evidence, 1, &[BAD], 1_000 + number * 100);
     }
 
-    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), PromptVerdict::Clear);
+    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), CrashVerdict::Clear);
 }
 
 #[test]
@@ -149,7 +152,7 @@
         crash(&mut evidence, number, &[BAD], 1_000 + number);
     }
 
-    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), PromptVerdict::Clear);
+    assert_eq!(verdict(&mut evidence, &[BAD], 3_000), CrashVerdict::Clear);
 }
 
 #[test]
@@ -163,12 +166,9 @@
 
         assert_eq!(
             verdict(&mut evidence, &[bad], 2_000),
-            PromptVerdict::Blocked(bad)
-        );
-        assert_eq!(
-            verdict(&mut evidence, &[FIRST], 2_000),
-            PromptVerdict::Clear
+            CrashVerdict::Blocked(bad)
         );
+        assert_eq!(verdict(&mut evidence, &[FIRST], 2_000), CrashVerdict::Clear);
     }
 }
 
@@ -178,12 +178,9 @@
 
     assert_eq!(
         verdict(&mut evidence, &[BAD], 2_000),
-        PromptVerdict::Blocked(BAD)
-    );
-    assert_eq!(
-        verdict(&mut evidence, &[FIRST], 2_000),
-        PromptVerdict::Clear
+        CrashVerdict::Blocked(BAD)
     );
+    assert_eq!(verdict(&mut evidence, &[FIRST], 2_000), CrashVerdict::Clear);
 }
 
 /// Guards against a wrong segment that stays blocked after the right one is found.
@@ -193,7 +190,7 @@
     let mut evidence = crashed(&[BAD, bystander], CRASHES_TO_BLOCK);
     assert_eq!(
         verdict(&mut evidence, &[bystander], 2_000),
-        PromptVerdict::Blocked(bystander)
+        CrashVerdict::Blocked(bystander)
     );
 
     evidence.record_end(&start(10), &segments(&[BAD, 0x78]), 2_100);
@@ -205,11 +202,11 @@
     );
     assert_eq!(
         verdict(&mut evidence, &[BAD], 2_500),
-        PromptVerdict::Blocked(BAD)
+        CrashVerdict::Blocked(BAD)
     );
     assert_eq!(
         verdict(&mut evidence, &[bystander], 2_500),
-        PromptVerdict::Clear
+        CrashVerdict::Clear
     );
 }
 
@@ -224,7 +221,7 @@
     for bad in [BAD, BAD + 1] {
         assert_eq!(
             verdict(&mut evidence, &[bad], 3_000),
-            PromptVerdict::Blocked(bad)
+            CrashVerdict::Blocked(bad)
         );
     }
 }
@@ -264,9 +261,9 @@
     late.merge(&routers[0].snapshot(2_000), None, 5);
 
     for router in &mut routers {
-        assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
+        assert_eq!(verdict(router, &[BAD], 2_000), CrashVerdict::Blocked(BAD));
     }
-    assert_eq!(verdict(&mut late, &[BAD], 10), PromptVerdict::Blocked(BAD));
+    assert_eq!(verdict(&mut late, &[BAD], 10), CrashVerdict::Blocked(BAD));
 }
 
 #[test]
@@ -290,10 +287,7 @@
         1_500,
     );
 
-    assert_eq!(
-        verdict(&mut evidence, &[FIRST], 2_000),
-        PromptVerdict::Clear
-    );
+    assert_eq!(verdict(&mut evidence, &[FIRST], 2_000), CrashVerdict::Clear);
 }
 
 /// Guards against a sound segment that is blocked because only another router had
@@ -322,8 +316,8 @@
     late.merge(&evidence.snapshot(1_600), None, 1_600);
 
     for router in [&mut answering, &mut evidence, &mut late] {
-        assert_eq!(verdict(router, &[BAD], 2_000), PromptVerdict::Blocked(BAD));
-        assert_eq!(verdict(router, &[FIRST], 2_000), PromptVerdict::Clear);
+        assert_eq!(verdict(router, &[BAD], 2_000), CrashVerdict::Blocked(BAD));
+        assert_eq!(verdict(router, &[FIRST], 2_000), CrashVerdict::Clear);
     }
 }
 
@@ -341,8 +335,8 @@
         }
         evidence.assess(now_ms + 200);
         assert_eq!(
-            evidence.verdict(&prompt(&[BAD])),
-            PromptVerdict::Blocked(BAD)
+            evidence.verdict(&prompt(&[BAD]).shared_segments()),
+            CrashVerdict::Blocked(BAD)
         );
     }
 
@@ -351,7 +345,7 @@
     evidence.record_answer(&segments(&[BAD]), 110 * MINUTE_MS);
     assert_eq!(
         verdict(&mut evidence, &[BAD], 111 * MINUTE_MS),
-        PromptVerdict::Clear
+        CrashVerdict::Clear
     );
 }
 
@@ -372,7 +366,7 @@
 
     let found = verdict(&mut evidence, &[BAD], 121 * MINUTE_MS);
 
-    assert_eq!(found, PromptVerdict::Clear);
+    assert_eq!(found, CrashVerdict::Clear);
 }
 
 /// A request that is in flight at a server.
@@ -450,8 +444,8 @@
                 let router = pick(&mut next, routers);
                 let up: Vec<usize> = (0..engines).filter(|server| servers[*server].up_ms <= now_ms).collect();
                 let blocked = matches!(
-                    fleet[router].verdict(&prompt(&segments)),
-                    PromptVerdict::Blocked(_)
+                    fleet[router].verdict(&prompt(&segments).shared_segments()),
+                    CrashVerdict::Blocked(_)
                 );
                 if blocked || up.is_empty() {
                     continue;
@@ -505,7 +499,7 @@
             for evidence in &mut fleet {
                 for change in evidence.assess(now_ms) {
                     match change {
-                        BlockChange::Blocked { segment, .. } => last_blocked.insert(segment),
+                        BlockChange::Blocked { part, .. } => last_blocked.insert(part.id),
                         BlockChange::Released(segment) => last_blocked.remove(&segment),
                     };
                 }
@@ -515,7 +509,7 @@
         prop_assert!(late <= 3, "{late} requests after the fifth crash; {} crashes", crashes.len());
         if crashes.len() >= 5 {
             for evidence in &fleet {
-                prop_assert_eq!(evidence.verdict(&prompt(&[BAD])), PromptVerdict::Blocked(BAD));
+                prop_assert_eq!(evidence.verdict(&prompt(&[BAD]).shared_segments()), CrashVerdict::Blocked(BAD));
             }
         }
         let others: Vec<u64> = last_blocked.into_iter().filter(|segment| *segment != BAD).collect();
@@ -552,3 +546,189 @@
 
     assert!(sent <= 3 * 202, "{sent} observations were sent");
 }
+
+/// A request that crashes servers.
+const BAD_REQUEST: u64 = 0xbad_4e9;
+/// Crashes under a request after which it is blocked.
+const CRASHES_TO_BLOCK_REQUEST: u64 = 3;
+
+/// Returns evidence of `count` crashes under a whole request, 100 ms apart from 1,000 ms
+/// on, assessed after each.
+fn crashed_by_request(count: u64) -> CrashEvidence {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..count {
+        let now_ms = 1_000 + number * 100;
+        evidence.record_end(&start(number), &[RequestPart::whole(BAD_REQUEST)], now_ms);
+        evidence.assess(now_ms);
+    }
+    evidence
+}
+
+/// Guards against BUDGET: the third crash under a request is the last one that is free.
+#[test]
+fn a_request_is_suspect_after_two_crashes_and_blocked_after_three() {
+    let expected = [
+        (1, CrashVerdict::Clear),
+        (2, CrashVerdict::Suspect),
+        (3, CrashVerdict::Blocked(BAD_REQUEST)),
+    ];
+    for (count, expected) in expected {
+        let mut evidence = crashed_by_request(count);
+        evidence.assess(2_000);
+
+        let found = evidence.verdict(&[RequestPart::whole(BAD_REQUEST)]);
+
+        assert_eq!(found, expected, "{count} crashes");
+    }
+}
+
+/// Guards against LOST: a request that was answered between crashes is a bystander.
+#[test]
+fn an_answer_acquits_a_request_of_the_crashes_before_it() {
+    let mut evidence = crashed_by_request(CRASHES_TO_BLOCK_REQUEST);
+    evidence.record_answer(&[RequestPart::whole(BAD_REQUEST)], 1_210);
+
+    evidence.assess(2_000);
+
+    assert_eq!(
+        evidence.verdict(&[RequestPart::whole(BAD_REQUEST)]),
+        CrashVerdict::Clear
+    );
+}
+
+/// Guards against LOST: of two requests that were in flight at all crashes, the one that
+/// was answered before, at another router, was blocked.
+#[test]
+fn of_two_requests_at_all_crashes_the_unanswered_one_is_blocked() {
+    for (bystander, culprit) in [(1, 2), (2, 1)] {
+        let mut answering = CrashEvidence::default();
+        answering.record_answer(&[RequestPart::whole(bystander)], 500);
+        let mut evidence = CrashEvidence::default();
+        let parts = [RequestPart::whole(bystander), RequestPart::whole(culprit)];
+        for number in 0..CRASHES_TO_BLOCK_REQUEST {
+            evidence.record_end(&start(number), &parts, 1_000 + number * 100);
+        }
+        let origins = ..=ObservationOrigin::Relay;
+        let (_, ends) = evidence.outgoing_since(0, origins, 1_300);
+        answering.merge(&ends, None, 1_300);
+        let (_, answers) = answering.outgoing_since(0, origins, 1_400);
+        evidence.merge(&answers, None, 1_400);
+
+        for router in [&mut answering, &mut evidence] {
+            router.assess(2_000);
+            assert_eq!(router.verdict(&parts[..1]), CrashVerdict::Clear);
+            assert_eq!(router.verdict(&parts[1..]), CrashVerdict::Blocked(culprit));
+        }
+    }
+}
+
+/// Guards against wrong blocks of whole requests: a segment that explains more crashes
+/// takes them away.
+#[test]
+fn a_segment_at_fault_releases_the_requests_beside_it() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..3 {
+        let mut parts = segments(&[BAD]);
+        parts.push(RequestPart::whole(7));
+        evidence.record_end(&start(number), &parts, 1_000 + number * 100);
+    }
+    evidence.assess(2_000);
+    let before = evidence.verdict(&[RequestPart::whole(7)]);
+
+    let mut parts = segments(&[BAD]);
+    parts.push(RequestPart::whole(8));
+    evidence.record_end(&start(3), &parts, 2_100);
+    evidence.assess(3_000);
+
+    assert_eq!(before, CrashVerdict::Blocked(7));
+    assert_eq!(
+        evidence.verdict(&[RequestPart::whole(7)]),
+        CrashVerdict::Clear
+    );
+    assert_eq!(
+        verdict(&mut evidence, &[BAD], 3_000),
+        CrashVerdict::Blocked(BAD)
+    );
+}
+
+/// Guards against a crash that is lost because the server closed a connection long before
+/// it: the time of that one counted for both.
+#[test]
+fn a_connection_closed_earlier_by_the_same_server_moves_no_crash() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..CRASHES_TO_BLOCK_REQUEST {
+        evidence.record_end(&start(number), &[RequestPart::whole(5)], 1_000);
+    }
+    evidence.record_answer(&[RequestPart::whole(BAD_REQUEST)], 5_000);
+
+    for number in 0..CRASHES_TO_BLOCK_REQUEST {
+        let parts = [RequestPart::whole(BAD_REQUEST)];
+        evidence.record_end(&start(number), &parts, 60_000 + number * 100);
+    }
+    evidence.assess(61_000);
+
+    assert_eq!(
+        evidence.verdict(&[RequestPart::whole(BAD_REQUEST)]),
+        CrashVerdict::Blocked(BAD_REQUEST)
+    );
+}
+
+/// Guards against a flood of requests that servers end, which made routers forget the
+/// request that crashes servers, or hold all others.
+#[test]
+fn a_flood_of_ended_requests_releases_nothing_and_takes_little_memory() {
+    let mut evidence = crashed_by_request(CRASHES_TO_BLOCK_REQUEST);
+    evidence.assess(2_000);
+    let mut sent = 0;
+    let mut seq = evidence.next_seq();
+
+    for number in 0..200_000_u64 {
+        let now_ms = 3_000 + number / 10;
+        let server = start(1_000 + number % 300);
+        evidence.record_end(&server, &[RequestPart::whole(1_000_000 + number)], now_ms);
+        if number % 1_000 == 0 {
+            evidence.assess(now_ms);
+            let (next, observations) =
+                evidence.outgoing_since(seq, ..=ObservationOrigin::Relay, now_ms);
+            seq = next;
+            sent += observations.len();
+        }
+    }
+    evidence.assess(30_000);
+
+    assert_eq!(
+        evidence.verdict(&[RequestPart::whole(BAD_REQUEST)]),
+        CrashVerdict::Blocked(BAD_REQUEST)
+    );
+    // 20 s with at most 512 ends each.
+    assert!(sent <= 21 * 512, "{sent} observations were sent");
+    assert!(evidence.snapshot(30_000).len() <= 128 * 512);
+}
+
+/// Guards against fingerprints that two different requests share, and against those that
+/// depend on how a body arrives.
+#[test]
+fn fingerprints_tell_requests_apart() {
+    let requests = [
+        ["org-1", "GET", "a.example", "/x", "body"],
+        ["org-2", "GET", "a.example", "/x", "body"],
+        ["org-1", "POST", "a.example", "/x", "body"],
+        ["org-1", "GET", "b.example", "/x", "body"],
+        ["org-1", "GET", "a.example", "/y", "body"],
+        ["org-1", "GET", "a.example", "/x", "other"],
+        ["org-1", "GET", "a.example", "/xb", "ody"],
+        ["org-1G", "ET", "a.example", "/x", "body"],
+        ["org-1", "GET", "a.example", "/x", ""],
+    ];
+    let ids = requests.map(|[caller, method, host, path, body]| {
+        let mut fingerprint = RequestFingerprint::new(caller, method, host, path);
+        fingerprint.append(body.as_bytes());
+        fingerprint.finish().id
+    });
+    let mut divided = RequestFingerprint::new("org-1", "GET", "a.example", "/x");
+    divided.append(b"bo");
+    divided.append(b"dy");
+
+    assert_eq!(BTreeSet::from(ids).len(), requests.len());
+    assert_eq!(divided.finish().id, ids[0]);
+}
