Take an early answer without a length for whole only after the upload

Callers got a part of an answer as a whole one. Cause: an answer without a length or chunks ends with its connection, and a server that answered a long upload at once and closed its side in order before it had read the upload ended the answer where it happened to be. Change: such an end counts only once the request's body has been sent to its end; until then the server has broken off. The send buffer of a connection to a server is bounded, because what is in it counts as sent.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -33,7 +33,7 @@
     context::{RequestContext, SharedState},
     link_gate::LinkTicket,
     ports::{ResponseMetadata, UpstreamRequestMetadata},
-    request_body::RequestContent,
+    request_body::{RequestContent, SendProgress},
     server_limits::{self, Permit},
     upstream::{AcquireError, ConnectionError, PooledConnection, SendResult},
     warmup::{self, WarmupPermit},
@@ -199,6 +199,8 @@
     /// Whether the body has a length or is chunked. Otherwise the end of the
     /// connection ends the body.
     pub(super) framed: bool,
+    /// How far the request has been sent.
+    progress: SendProgress,
     /// Whether a time limit has expired while the body was read.
     timed_out: bool,
     link_ticket: Option<Arc<LinkTicket>>,
@@ -213,6 +215,15 @@
     kv_source: Option<&'a str>,
 }
 
+/// A request that has been sent, and the head of the response.
+struct Exchanged {
+    connection: PooledConnection,
+    response: http::Response<Incoming>,
+    metadata: ResponseMetadata,
+    sent_at: Instant,
+    progress: SendProgress,
+}
+
 /// A server that has been selected for an attempt. The request counts as in
 /// flight there.
 pub(super) struct SelectedAttempt {
@@ -299,9 +310,16 @@
             last_event_id,
             kv_source: selected.kv_source.as_deref(),
         };
-        let (connection, response, metadata, sent_at) =
+        let exchanged =
             ServerResponse::exchange(cx, &server, &options, &mut reservation, &mut in_flight)
                 .await?;
+        let Exchanged {
+            connection,
+            response,
+            metadata,
+            sent_at,
+            progress,
+        } = exchanged;
         let (parts, body) = response.into_parts();
         let framed = body.size_hint().exact().is_some()
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
@@ -318,6 +336,7 @@
             headers: parts.headers,
             body,
             framed,
+            progress,
             timed_out: false,
             link_ticket: cx.link_ticket.clone(),
         })
@@ -378,15 +397,7 @@
         options: &SendOptions<'_>,
         reservation: &mut SendReservation,
         in_flight: &mut InFlightGuard,
-    ) -> Result<
-        (
-            PooledConnection,
-            http::Response<Incoming>,
-            ResponseMetadata,
-            Instant,
-        ),
-        AttemptError,
-    > {
+    ) -> Result<Exchanged, AttemptError> {
         let mut warmup_permit = obtain_warmup_permit(cx, server, reservation).await;
         if warmup_permit == WarmupPermit::Denied {
             in_flight.end(AttemptOutcome::Neutral);
@@ -434,8 +445,8 @@
         if remaining.as_millis() < MIN_USEFUL_MS {
             return Err(AttemptError::NotRun("no-time-left"));
         }
-        let request = match build_request(cx, server, options, remaining) {
-            Ok(request) => request,
+        let (request, progress) = match build_request(cx, server, options, remaining) {
+            Ok(built) => built,
             Err(err) => {
                 log::error!(id = cx.id(); "can't build the request to a server; not sending it: {err}");
                 return Err(AttemptError::NotRun("unsendable"));
@@ -470,7 +481,13 @@
             }
         };
         let metadata = examine_head(cx, server, &response, sent_ms, in_flight)?;
-        Ok((connection, response, metadata, sent_at))
+        Ok(Exchanged {
+            connection,
+            response,
+            metadata,
+            sent_at,
+            progress,
+        })
     }
 
     /// Returns a handle of the attempt.
@@ -484,11 +501,18 @@
         self.body.size_hint().exact()
     }
 
-    /// Reads the next chunk of the body. Returns `None` at the end.
+    /// Reads the next chunk of the body. Returns `None` at the end. A connection that is
+    /// closed ends a body without framing only after the whole request.
     pub(super) async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
-        let frame = match self.body.frame().await? {
-            Ok(frame) => frame,
-            Err(err) => {
+        let frame = match self.body.frame().await {
+            None if self.framed || self.progress.is_complete() => return None,
+            None => {
+                let reason = "server closed the connection before the end of the request";
+                self.record_unframed_end(reason);
+                return Some(Err(reason.to_owned()));
+            }
+            Some(Ok(frame)) => frame,
+            Some(Err(err)) => {
                 let err = ConnectionError::from(&err);
                 self.in_flight.record_lost_connection(&err);
                 self.timed_out = err.timed_out;
@@ -629,7 +653,7 @@
     server: &ServerEntry,
     options: &SendOptions<'_>,
     remaining: Duration,
-) -> Result<Request<RequestContent>, http::Error> {
+) -> Result<(Request<RequestContent>, SendProgress), http::Error> {
     let organisation = cx.organisation.as_ref();
     let metadata = UpstreamRequestMetadata {
         server: &server.id,
@@ -640,10 +664,11 @@
         kv_source: kv_source(cx, options),
     };
     let path = cx.uri.path_and_query().map_or("/", |path| path.as_str());
+    let (body, progress) = cx.body.to_send();
     let mut request = Request::builder()
         .method(cx.method.clone())
         .uri(path)
-        .body(cx.body.clone())?;
+        .body(body)?;
     *request.headers_mut() = cx
         .shared
         .platform
@@ -657,7 +682,7 @@
         let host = HeaderValue::from_str(host)?;
         request.headers_mut().insert(header::HOST, host);
     }
-    Ok(request)
+    Ok((request, progress))
 }
 
 /// Checks that the selected start of a server still accepts requests and that its data
--- a/crates/peridotslip-edge/src/request_body.rs
+++ b/crates/peridotslip-edge/src/request_body.rs
@@ -8,7 +8,10 @@
     collections::{HashMap, VecDeque},
     convert::Infallible,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
 };
 
@@ -186,6 +189,7 @@
         Ok(RequestContent {
             parts,
             len: content.len,
+            taken: Arc::default(),
             _reservation: Some(Arc::new(reservation)),
         })
     }
@@ -197,10 +201,36 @@
     // Dropped before the reservation.
     parts: VecDeque<Bytes>,
     len: usize,
+    /// Whether all parts have been taken to be sent.
+    taken: Arc<AtomicBool>,
     _reservation: Option<Arc<Reservation>>,
 }
 
+/// Tells whether a request has been sent to its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SendProgress {
+    taken: Arc<AtomicBool>,
+}
+
+impl SendProgress {
+    /// Returns whether all of the body has been taken to be sent. What the connection's
+    /// buffers hold of it may not have reached the server.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.taken.load(Ordering::Relaxed)
+    }
+}
+
 impl RequestContent {
+    /// Returns a copy to be sent, and how far it has been sent.
+    pub(crate) fn to_send(&self) -> (Self, SendProgress) {
+        let taken = Arc::new(AtomicBool::new(self.parts.is_empty()));
+        let content = Self {
+            taken: taken.clone(),
+            ..self.clone()
+        };
+        (content, SendProgress { taken })
+    }
+
     /// Returns the content, in pieces.
     pub(crate) fn parts(&self) -> impl Iterator<Item = &[u8]> {
         self.parts.iter().map(AsRef::as_ref)
@@ -224,6 +254,9 @@
         if let Some(part) = &part {
             self.len -= part.len();
         }
+        if self.parts.is_empty() {
+            self.taken.store(true, Ordering::Relaxed);
+        }
         Poll::Ready(part.map(|part| Ok(Frame::data(part))))
     }
 
--- a/crates/peridotslip-edge/src/upstream.rs
+++ b/crates/peridotslip-edge/src/upstream.rs
@@ -52,6 +52,8 @@
     io::ErrorKind::ConnectionReset,
     io::ErrorKind::UnexpectedEof,
 ];
+/// Send buffer of a connection, in bytes. What is in it counts as sent.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Most headers of a response.
 const MAX_HEADERS: usize = 100;
 
@@ -297,6 +299,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
     let keep_alive = TcpKeepalive::new()
         .with_time(Duration::from_secs(KEEP_ALIVE_S))
