Take a response with no final status for none

Cause: hyper accepts any three digits as a status. An engine's answer with 101 or 600 to 999 reached the caller, with its seal; 000, 099 and statuses of other lengths were refused already. Change: a response counts only with a status from 200 to 599 (RFC 9110, section 15; no router asks for another protocol). The attempt has failed.

--- a/crates/peridotslip-edge/src/dispatch/attempt.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempt.rs
@@ -785,6 +785,12 @@
             .any(|value| has_status_line(value.as_bytes()))
 }
 
+/// Returns whether a response may have the status: RFC 9110, section 15, has classes up to
+/// 5, and no router asks for another protocol.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Checks that the response is that to this request, by its ID: a server may write an
 /// earlier response, or one of another connection, once more. Any other response says
 /// nothing of the request, not even that it has not run.
@@ -797,6 +803,7 @@
     let own = cx.metadata.attempt_id.as_deref();
     let (outcome, reason) = match metadata.attempt_id.as_deref() {
         _ if has_two_heads(response) => (AttemptOutcome::Failed, "two responses in one"),
+        _ if !is_final(response.status()) => (AttemptOutcome::Failed, "no final status"),
         None => (AttemptOutcome::Failed, UNTIED),
         Some(id) if Some(id) != own => (AttemptOutcome::Neutral, "answer to another request"),
         Some(_) => return Ok(()),
