Answer late requests of a stopping router before it ends

Callers whose requests came late in the grace of a planned stop were cut off without an answer at its end, also where the request may not be repeated. Cause: a stopping router handled each request by the request's own deadline, which may be later than its end, and ended with what was open. Change: while a router stops, no request's deadline is later than 1 s before the end of the grace, servers get that deadline, and what is open then is answered: 504 if a server may have run it, else 503. A request is not sent at all (503 router-stopping) if less time is left than its route's target, so that its retry reaches another router at once.

--- a/crates/peridotslip-edge/src/context.rs
+++ b/crates/peridotslip-edge/src/context.rs
@@ -20,6 +20,8 @@
     vm_shares::{self, VmShares},
 };
 
+use tokio::sync::watch;
+
 use crate::{
     body::StreamedResponses,
     budgets::{BudgetManager, ReservationGuard},
@@ -89,6 +91,9 @@
     pub(crate) store_availability: StoreAvailability,
     pub(crate) feeds: Feeds,
     pub(crate) stopping: AtomicBool,
+    /// When a stopping router answers the requests that are still open; `None` while it
+    /// runs.
+    answer_by: watch::Sender<Option<Instant>>,
     /// Whether the peers' observations have been read since the start.
     pub(crate) peer_state_loaded: AtomicBool,
     pub(crate) open_requests: AtomicUsize,
@@ -151,6 +156,7 @@
             store_availability: StoreAvailability::new(),
             feeds,
             stopping: AtomicBool::new(false),
+            answer_by: watch::Sender::default(),
             peer_state_loaded: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         })
@@ -228,6 +234,28 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the router is stopping and answers all requests by a time.
+    pub(crate) fn set_stopping(&self, answer_by: Instant) {
+        self.answer_by.send_replace(Some(answer_by));
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns when the router answers the requests that are still open, if it is
+    /// stopping.
+    pub(crate) fn answer_by(&self) -> Option<Instant> {
+        *self.answer_by.borrow()
+    }
+
+    /// Waits until a stopping router answers the requests that are still open.
+    pub(crate) async fn wait_answer_due(&self) {
+        let mut answer_by = self.answer_by.subscribe();
+        match answer_by.wait_for(Option::is_some).await.map(|at| *at) {
+            Ok(Some(at)) => tokio::time::sleep_until(at.into()).await,
+            // The sender lives as long as the process.
+            _ => std::future::pending().await,
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
@@ -351,7 +379,8 @@
         length.to_str().ok()?.trim().parse().ok()
     }
 
-    /// Returns the time by which the response must be complete.
+    /// Returns the time by which the response must be complete. A stopping router answers
+    /// before it ends.
     pub(crate) fn deadline(&self) -> Instant {
         let route_ms = self
             .route
@@ -360,7 +389,9 @@
         let caller_ms = self.metadata.deadline_ms.unwrap_or(u64::MAX);
         // A day means no limit; no route waits longer.
         let limit_ms = route_ms.min(caller_ms).min(24 * 60 * 60 * 1000);
-        self.arrived + Duration::from_millis(limit_ms)
+        let deadline = self.arrived + Duration::from_millis(limit_ms);
+        let answer_by = self.shared.answer_by();
+        answer_by.map_or(deadline, |answer_by| answer_by.min(deadline))
     }
 
     /// Returns the host to which the request is addressed.
--- a/crates/peridotslip-edge/src/dispatch/attempts.rs
+++ b/crates/peridotslip-edge/src/dispatch/attempts.rs
@@ -116,6 +116,8 @@
         let cx = self.cx;
         let blocked = cx.wait_blocked();
         tokio::pin!(blocked);
+        let answer_due = cx.shared.wait_answer_due();
+        tokio::pin!(answer_due);
         let silent = silence(self.reader.silence_limit(cx));
         tokio::pin!(silent);
         while !self.running.is_empty() {
@@ -156,6 +158,8 @@
                 }
                 // The request crashes a server as it begins to run: no further one is needed.
                 () = &mut blocked => return None,
+                // The process ends soon, and with it the caller's connection.
+                () = &mut answer_due => return provisional,
                 () = &mut silent => {
                     silent.set(silence(self.reader.silence_limit(cx)));
                     self.slow = None;
--- a/crates/peridotslip-edge/src/filters.rs
+++ b/crates/peridotslip-edge/src/filters.rs
@@ -4,6 +4,7 @@
 mod crashing_request;
 mod reserve;
 mod route;
+mod stopping;
 
 use std::sync::Arc;
 
@@ -28,6 +29,7 @@
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             filters: vec![
+                Box::new(stopping::RejectUnfinishable),
                 Box::new(route::PickService),
                 Box::new(crashing_request::RejectCrashingRequest),
                 Box::new(reserve::ReserveTokens),
--- a/crates/peridotslip-edge/src/reason.rs
+++ b/crates/peridotslip-edge/src/reason.rs
@@ -62,6 +62,8 @@
     /// The request was given up because servers have crashed under the same request; a
     /// server may have run it.
     RequestStopped,
+    /// The router is stopping and can't finish the request.
+    Stopping,
     /// None of the servers to which attempts were made could be reached.
     ServersUnreachable,
     /// A server may have run the request, and no complete response was
@@ -119,6 +121,7 @@
             Self::PromptStopped => "prompt-stopped",
             Self::RequestBlocked => "request-blocked",
             Self::RequestStopped => "request-stopped",
+            Self::Stopping => "router-stopping",
             Self::ServersUnreachable => "servers-unreachable",
             Self::ServerBroke => "server-broke",
             Self::TimedOut => "timed-out",
@@ -152,6 +155,7 @@
             | Self::ServersLimited
             | Self::PromptBlocked
             | Self::RequestBlocked
+            | Self::Stopping
             | Self::ServersUnreachable
             | Self::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerBroke | Self::PromptStopped | Self::RequestStopped => {
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -58,6 +58,9 @@
 /// Part of the grace time reserved for returning grants and exiting, in
 /// milliseconds. Open requests may use the rest.
 const EXIT_RESERVE_MS: u64 = 750;
+/// Part of the time of open requests that is reserved for answering those which are not
+/// complete, in milliseconds.
+const ANSWER_RESERVE_MS: u64 = 250;
 /// Interval between two checks for open requests, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
 /// Interval between two reads of the settings file, in milliseconds.
@@ -384,11 +387,12 @@
     let deadline = tokio::time::Instant::now() + grace;
     let open = shared.open_requests.load(Ordering::Relaxed);
     log::info!(open; "graceful shutdown started; readiness checks fail from now on");
-    shared.stopping.store(true, Ordering::Relaxed);
+    let drain_deadline = deadline - Duration::from_millis(EXIT_RESERVE_MS);
+    let answer_by = drain_deadline - Duration::from_millis(ANSWER_RESERVE_MS);
+    shared.set_stopping(answer_by.into());
     shared.budgets.leave().await;
     tokio::time::sleep(Duration::from_millis(LAME_DUCK_MS)).await;
     stop_tx.send_replace(true);
-    let drain_deadline = deadline - Duration::from_millis(EXIT_RESERVE_MS);
     loop {
         // Callers' connections are read before the first check.
         tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
