Take early answers and odd statuses for none at the own interface

Change: an answer without a length or chunks ends only after the request's body has been taken to be sent, in pieces; a status outside 200 to 599 fails the attempt.

--- a/crates/peridotslip-daemon/src/backend.rs
+++ b/crates/peridotslip-daemon/src/backend.rs
@@ -1,10 +1,14 @@
 //! Policies and HTTP clients for backend servers.
 
+mod early;
 pub(crate) mod forward;
 pub(crate) mod sse;
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
+use axum::http::{Request, header};
+use http_body::Body as _;
+use http_body_util::BodyExt;
 use hyper_util::{
     client::legacy::{Client, Error, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -16,11 +20,17 @@
 use quick_error::quick_error;
 use reqwest::Body;
 
+use self::early::{SentBody, UnframedBody};
 use crate::settings::BackendSettings;
 
 /// Most bytes that a connection reads ahead, which also limits a response's
 /// head, in bytes. Each response without end fills a buffer of this size.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Send buffer of a connection, in bytes. What is in it counts as sent.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// Statuses that end an exchange: RFC 9110, section 15, has classes up to 5, and no router
+/// asks for another protocol.
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Idle time before the kernel probes a connection, in seconds.
 const KEEP_ALIVE_S: u64 = 15;
 
@@ -38,10 +48,19 @@
             source(err)
             from()
         }
+        /// The status of the response is none that ends an exchange.
+        Status(status: u16) {
+            display("the server answered with status {status}")
+        }
     }
 }
 
 impl SendError {
+    #[allow(clippy::needless_pass_by_value)] // Fits `map_err`.
+    fn unreadable(err: reqwest::Error) -> Self {
+        Self::Request(err.to_string())
+    }
+
     /// Returns whether no connection could be opened, so that the request was
     /// not sent.
     pub(crate) fn is_connect(&self) -> bool {
@@ -62,6 +81,7 @@
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
+        connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         connector.set_keepalive(Some(Duration::from_secs(KEEP_ALIVE_S)));
         let client = Client::builder(TokioExecutor::new())
             .http1_max_buf_size(MAX_READ_AHEAD_BYTES)
@@ -80,11 +100,24 @@
         &self,
         request: reqwest::Request,
     ) -> Result<reqwest::Response, SendError> {
-        let request = request
-            .try_into()
-            .map_err(|err: reqwest::Error| SendError::Request(err.to_string()))?;
+        let request: Request<Body> = request.try_into().map_err(SendError::unreadable)?;
+        let (head, body) = request.into_parts();
+        let content = body.collect().await.map_err(SendError::unreadable)?;
+        let (body, taken) = SentBody::new(content.to_bytes());
+        let request = Request::from_parts(head, Body::wrap(body));
         let response = self.0.request(request).await?;
-        Ok(response.map(Body::wrap).into())
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(SendError::Status(status));
+        }
+        let framed = response.body().size_hint().exact().is_some()
+            || response.headers().contains_key(header::TRANSFER_ENCODING);
+        let response = if framed {
+            response.map(Body::wrap)
+        } else {
+            response.map(|body| Body::wrap(UnframedBody::new(body, taken)))
+        };
+        Ok(response.into())
     }
 }
 
