Let the transfer of a large table to a follower end

Cause: since a follower that heard of changes it lacked called its relay again at once, and again with each reply to its watch of servers. Change: a follower whose proof is about to expire asks its relay for a proof alone (ProveTable, protocol 8), beside its watch of the table, which calls anew only if changes are still missing after the time that a large table may take.

--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -101,6 +101,8 @@
     /// Asks a relay for the store's changes and for how current its routing table is. Sent
     /// to routers that know protocol 8.
     FollowWithProof(FollowRequest),
+    /// Asks a relay how current its routing table is. Sent to routers that know protocol 8.
+    ProveTable,
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -152,6 +154,7 @@
             | Self::PassCrashes(_)
             | Self::Follow(_)
             | Self::FollowWithProof(_)
+            | Self::ProveTable
             | Self::Probe => true,
             // Each reply issues a transfer, a permit or leases of its own, and a report
             // counts each time.
--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -16,7 +16,7 @@
     relay::{Change, ChangeLog, ChangeUpdate, Position, Rejection, Source, SourceSelector},
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::{
     budgets::PeerRequest,
@@ -58,8 +58,8 @@
 /// How long before the proof of a follower's table expires the follower calls for another
 /// one, in milliseconds.
 const CONFIRM_LEAD_MS: u64 = 300;
-/// How long a relay holds such a call, in milliseconds.
-const CONFIRM_WAIT_MS: u64 = 50;
+/// Interval between two such calls, and longest wait for a reply, in milliseconds.
+const CONFIRM_INTERVAL_MS: u64 = 350;
 /// How late the reply to a relay's watch of the routing table may be before it turns its
 /// followers away, in milliseconds.
 const TABLE_LATE_MS: u64 = 300;
@@ -187,8 +187,6 @@
     servers_source: watch::Sender<Option<Source>>,
     /// Notifies the watches of relays that are passed over.
     rejected: watch::Sender<()>,
-    /// Notifies the watch of the table that a relay has read further changes.
-    table_lags: Notify,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -206,7 +204,6 @@
             selector: Mutex::new(SourceSelector::new(vm)),
             servers_source: watch::Sender::default(),
             rejected: watch::Sender::new(()),
-            table_lags: Notify::new(),
         }
     }
 
@@ -417,16 +414,19 @@
 ) -> ProvenReply {
     let arrived = Instant::now();
     let reply = serve(shared, request).await;
-    let proof = || {
-        // Before the last change is read: a later one must not count as of this moment.
-        let age_ms = shared.table_age_ms()?;
-        Some(TableProof {
-            changed: shared.feeds.last_table_change()?,
-            age_ms,
-            held_ms: u64::try_from(arrived.elapsed().as_millis()).ok()?,
-        })
-    };
-    (reply, proof())
+    (reply, table_proof(shared, arrived))
+}
+
+/// Returns how current the routing table is, in reply to a call that arrived at `arrived`;
+/// `None` if it is read from another router.
+pub(crate) fn table_proof(shared: &SharedState, arrived: Instant) -> Option<TableProof> {
+    // Before the last change is read: a later one must not count as of this moment.
+    let age_ms = shared.table_age_ms()?;
+    Some(TableProof {
+        changed: shared.feeds.last_table_change()?,
+        age_ms,
+        held_ms: u64::try_from(arrived.elapsed().as_millis()).ok()?,
+    })
 }
 
 /// Replies to a follower once there are changes, after some time without any, or
@@ -514,11 +514,7 @@
 ) -> Followed {
     let feeds = &shared.feeds;
     let was_direct = feeds.record_followed(feed);
-    let wait_ms = if feed.has_table() && time_to_confirm(shared).is_zero() {
-        CONFIRM_WAIT_MS
-    } else {
-        feed.wait_ms(was_direct || in_outage)
-    };
+    let wait_ms = feed.wait_ms(was_direct || in_outage);
     let request = FollowRequest {
         feed,
         position: position(revision),
@@ -589,10 +585,8 @@
     let brings_table = matches!(&reply, FollowReply::Changes(update) if feed.has_table() && !update.changes.is_empty());
     if let Some(proof) = proof
         && !brings_table
-        && shared.table_freshness().record_proof(&proof, sent_ms)
     {
-        log::info!(relay = relay.vm.as_str(), changed = proof.changed.revision; "relay has read changes of the routing table that this router lacks; reading them again");
-        shared.feeds.table_lags.notify_one();
+        shared.table_freshness().record_proof(&proof, sent_ms);
     }
     Ok(reply)
 }
@@ -606,25 +600,40 @@
     Duration::from_millis(rest_ms)
 }
 
-/// Waits until the watch of the table should call a relay again, because relays have read
-/// further changes or the proof of the table is about to expire.
-pub(crate) async fn wait_table_unproven(shared: &SharedState, feed: Feed) {
+/// Asks the relay from which the table is read for a proof whenever the last one is about to
+/// expire. Returns once the watch of the table should call the relay again, because the
+/// changes that this router lacks have not arrived in the time that a large table may take.
+/// An earlier call would break off their transfer.
+pub(crate) async fn keep_table_proven(shared: &SharedState, relay: &RouterInstance, feed: Feed) {
     if !feed.has_table() {
         return std::future::pending().await;
     }
-    let expires = async {
-        // An attempt that is under way must not be cut off by the next one.
-        tokio::time::sleep(Duration::from_millis(CONFIRM_LEAD_MS)).await;
-        loop {
-            match time_to_confirm(shared) {
-                Duration::ZERO => return,
-                rest => tokio::time::sleep(rest).await,
+    let interval = Duration::from_millis(CONFIRM_INTERVAL_MS);
+    loop {
+        tokio::time::sleep(time_to_confirm(shared).max(interval)).await;
+        let now_ms = shared.clock.now_ms();
+        let lacking_for_ms = shared.table_freshness().lacking_for_ms(now_ms);
+        if let Some(lacking_for_ms) = lacking_for_ms {
+            if lacking_for_ms >= LONG_SLACK_MS {
+                log::info!(relay = relay.vm.as_str(), lacking_for_ms; "relay has read changes of the routing table that this router lacks; reading them again");
+                return;
             }
+        } else if time_to_confirm(shared).is_zero() {
+            ask_proof(shared, relay).await;
         }
-    };
-    tokio::select! {
-        () = shared.feeds.table_lags.notified() => {}
-        () = expires => {}
+    }
+}
+
+/// Asks a relay how current its routing table is.
+async fn ask_proof(shared: &SharedState, relay: &RouterInstance) {
+    let sent_ms = shared.clock.now_ms();
+    let timeout = Duration::from_millis(CONFIRM_INTERVAL_MS);
+    let call = PeerRequest::ProveTable;
+    let reply = shared
+        .peers
+        .call::<_, Option<TableProof>>(relay, &call, timeout);
+    if let Ok(Some(proof)) = reply.await {
+        shared.table_freshness().record_proof(&proof, sent_ms);
     }
 }
 
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -3,7 +3,7 @@
 use std::{
     path::{Path, PathBuf},
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use peridotslip::{
     forwarding::{
         CrashObservation, LimitNews, ObservationOrigin, OriginReply, PermitReply, PoolReply,
-        WarmupReply,
+        TableProof, WarmupReply,
     },
     ids::Incarnation,
     ledger::GrantTransfer,
@@ -227,9 +227,11 @@
     Pool(PoolReply),
     Changes(FollowReply),
     ProvenChanges(ProvenReply),
+    TableProof(Option<TableProof>),
     Done(bool),
 }
 
+#[allow(clippy::too_many_lines)] // One arm for each kind of request.
 async fn handle_peer_request(shared: Arc<SharedState>, request: PeerRequest) -> PeerResponse {
     match request {
         PeerRequest::Reserve {
@@ -322,6 +324,9 @@
         PeerRequest::FollowWithProof(request) => {
             PeerResponse::ProvenChanges(feeds::serve_with_proof(&shared, &request).await)
         }
+        PeerRequest::ProveTable => {
+            PeerResponse::TableProof(feeds::table_proof(&shared, Instant::now()))
+        }
         PeerRequest::TakeWarmupPermit(ask) => {
             PeerResponse::WarmupPermit(warmup::grant(&shared, &ask))
         }
--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -238,7 +238,7 @@
                     true
                 }
                 () = availability.changed_to(true), if in_outage => true,
-                () = feeds::wait_table_unproven(&shared, feed), if !in_outage => true,
+                () = feeds::keep_table_proven(&shared, &relay, feed), if !in_outage => true,
                 () = epoch_changed(&mut epoch, progress.revision) => {
                     progress.revision = None;
                     true
--- a/crates/peridotslip/src/forwarding/freshness.rs
+++ b/crates/peridotslip/src/forwarding/freshness.rs
@@ -99,6 +99,16 @@
     /// How far the table's changes have been read.
     position: Position,
     as_of_ms: Option<u64>,
+    /// The last change that a relay has read and this router has not.
+    lacking: Option<LackingChange>,
+}
+
+/// A change that a router knows only of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LackingChange {
+    position: Position,
+    /// Since when the router lacks any change, in milliseconds.
+    since_ms: u64,
 }
 
 impl TableFreshness {
@@ -112,20 +122,32 @@
     /// Records that the table's changes up to `position` have been read.
     pub fn record_position(&mut self, position: Position) {
         self.position = self.position.max(position);
+        let position = self.position;
+        self.lacking.take_if(|change| change.position <= position);
     }
 
-    /// Records a relay's proof, in the reply to a call that was sent at `sent_ms`. Returns
-    /// whether this router's table lags behind the relay's. Then the proof says nothing of
-    /// it.
-    pub fn record_proof(&mut self, proof: &TableProof, sent_ms: u64) -> bool {
+    /// Records a relay's proof, in the reply to a call that was sent at `sent_ms`. It says
+    /// nothing of this router's table if that lacks the relay's last change.
+    pub fn record_proof(&mut self, proof: &TableProof, sent_ms: u64) {
         if proof.changed.epoch != self.position.epoch {
-            return false;
+            return;
         }
         if proof.changed > self.position {
-            return true;
+            let since_ms = self.lacking.map_or(sent_ms, |change| change.since_ms);
+            self.lacking = Some(LackingChange {
+                position: proof.changed,
+                since_ms,
+            });
+            return;
         }
         self.record_as_of(proof.as_of_ms(sent_ms));
-        false
+    }
+
+    /// Returns for how long this router has lacked changes of which it knows, in
+    /// milliseconds; `None` if it lacks none.
+    #[must_use]
+    pub fn lacking_for_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.lacking?.since_ms))
     }
 
     fn record_as_of(&mut self, as_of_ms: u64) {
--- a/crates/peridotslip/tests/freshness.rs
+++ b/crates/peridotslip/tests/freshness.rs
@@ -48,10 +48,13 @@
     let mut freshness = TableFreshness::default();
     freshness.record_read(position(7), 1_000);
 
-    let lags = freshness.record_proof(&proof(8, 0, 0), 2_000);
+    freshness.record_proof(&proof(8, 0, 0), 2_000);
+    freshness.record_proof(&proof(9, 0, 0), 2_500);
 
-    assert!(lags);
     assert_eq!(freshness.age_ms(2_000), Some(1_000));
+    assert_eq!(freshness.lacking_for_ms(3_000), Some(1_000));
+    freshness.record_position(position(9));
+    assert_eq!(freshness.lacking_for_ms(3_000), None);
 }
 
 /// Guards against CONFIG: the age of a relay's table was lost on the way to its followers.
@@ -61,9 +64,9 @@
     freshness.record_read(position(7), 0);
 
     // Sent at 2,000, held for 500: the reply was made at 2,500 or later.
-    let lags = freshness.record_proof(&proof(7, 700, 500), 2_000);
+    freshness.record_proof(&proof(7, 700, 500), 2_000);
 
-    assert!(!lags);
+    assert_eq!(freshness.lacking_for_ms(2_600), None);
     assert_eq!(freshness.age_ms(2_600), Some(800));
 }
 
@@ -77,9 +80,9 @@
     };
     freshness.record_read(later, 1_000);
 
-    let lags = freshness.record_proof(&proof(9, 0, 0), 2_000);
+    freshness.record_proof(&proof(9, 0, 0), 2_000);
 
-    assert!(!lags);
+    assert_eq!(freshness.lacking_for_ms(2_000), None);
     assert_eq!(freshness.age_ms(2_000), Some(1_000));
 }
 
