--- a/crates/peridotslip-edge/src/store_watch.rs
+++ b/crates/peridotslip-edge/src/store_watch.rs
@@ -96,15 +96,15 @@
     Changes(WatchResponse),
 }
 
-/// What a watch is for besides the changes.
+/// What a call for changes has to find out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WatchPurpose {
-    /// Nothing.
+    /// The next changes, whenever they come.
     Changes,
-    /// To find out whether the store is available.
+    /// Whether the store is available.
     Probe,
-    /// To prove at once that the changes that are known are all, while the store replies
-    /// to other calls.
+    /// Whether the routing table is the newest, at once, as the last proof of it is about
+    /// to expire.
     Proof,
 }
 
