Leave the transfer of a table time by its own call

Cause: once a follower had lacked a change for 3 s, its watch of the table called anew every 0.35 s, so that a transfer of more than that was broken off again and again (found by reading the code). Change: the watch calls anew only if its own call was sent 5 s ago as well.

--- a/crates/peridotslip-edge/src/feeds.rs
+++ b/crates/peridotslip-edge/src/feeds.rs
@@ -602,19 +602,22 @@
 
 /// Asks the relay from which the table is read for a proof whenever the last one is about to
 /// expire. Returns once the watch of the table should call the relay again, because the
-/// changes that this router lacks have not arrived in the time that a large table may take.
-/// An earlier call would break off their transfer.
+/// changes that this router lacks have not arrived in the time that a large table may take,
+/// neither since it knows of them nor by this call. An earlier call would break off their
+/// transfer.
 pub(crate) async fn keep_table_proven(shared: &SharedState, relay: &RouterInstance, feed: Feed) {
     if !feed.has_table() {
         return std::future::pending().await;
     }
+    let called_at = Instant::now();
     let interval = Duration::from_millis(CONFIRM_INTERVAL_MS);
     loop {
         tokio::time::sleep(time_to_confirm(shared).max(interval)).await;
         let now_ms = shared.clock.now_ms();
         let lacking_for_ms = shared.table_freshness().lacking_for_ms(now_ms);
         if let Some(lacking_for_ms) = lacking_for_ms {
-            if lacking_for_ms >= LONG_SLACK_MS {
+            let called_long_ago = called_at.elapsed() >= Duration::from_millis(LONG_WAIT_MS);
+            if called_long_ago && lacking_for_ms >= LONG_SLACK_MS {
                 log::info!(relay = relay.vm.as_str(), lacking_for_ms; "relay has read changes of the routing table that this router lacks; reading them again");
                 return;
             }
