Bound what a request waits for in a filter

Cause: A request waits in the filters for other routers (up to three owners of its budget in turn, 400 ms each), and neither its deadline nor the time at which a stopping router answers its open requests ended that wait. Callers got their answer long after the deadline, or a closed connection from a router that stopped. Ruled out: the dispatch, whose attempts end at the deadline already.

Change: The filters run until the request's deadline (503, not-started) or until answers of a stopping router are due (503, router-stopping). A reservation that is given up is released by its guard.

--- a/crates/peridotslip-edge/src/listeners.rs
+++ b/crates/peridotslip-edge/src/listeners.rs
@@ -214,7 +214,7 @@
     let filtered = match received {
         Ok(Ok(())) => {
             cx.set_parts();
-            chain.apply(&mut cx).await
+            filter(&chain, &mut cx).await
         }
         Ok(Err(rejection)) => Err(rejection),
         Err(rejection) => {
@@ -258,6 +258,24 @@
     response
 }
 
+/// Applies the filters to a complete request, which may wait for other routers, until
+/// the request's deadline or until a stopping router answers its open requests.
+async fn filter(chain: &Chain, cx: &mut RequestContext) -> Result<()> {
+    let shared = cx.shared.clone();
+    let deadline = cx.deadline();
+    tokio::select! {
+        biased;
+        filtered = chain.apply(cx) => filtered,
+        () = shared.wait_answer_due() => {
+            let after_ms = shared.settings().timing.retry_after_ms;
+            Err(Rejection::after(RejectionReason::Stopping, after_ms))
+        }
+        () = tokio::time::sleep_until(deadline.into()) => {
+            Err(Rejection::new(RejectionReason::NotStarted))
+        }
+    }
+}
+
 /// Checks the head of a request and reads the body into `cx`. Returns the rejection of a
 /// request that the table does not permit, with the short body discarded so that the
 /// connection can be used on.
