Serve a budget after all witnesses of its owner were lost

Cause: Three faults in a row. Each reservation beyond the ceiling asked the lost witnesses by itself, 150 ms under one lock, after the requests before it. The choice of other witnesses waited for the same lock, and found none while no peer was reachable. The lost routers' entries stay in the store, so that their set kept its say for good. The waits at the lock had no deadline. Ruled out: the exchange with the store and the engines, which were idle.

Change: One attempt to raise a ceiling serves all requests that wait for it, goes on without them and ends at once while no witness of a set is reachable. A router that reaches no other names no witnesses in its record. Once the reply confirms it, no reclaimer can use the old set: a reclaim compares and swaps the record that it has read. A store with epochs may return to a copy that names the old set; so a router without witnesses spends there only what all copies show as granted to it, and the record of a new epoch names no witnesses of routers that ended after it was written. The same for a new router that finds only lost ones. Routers that join later become witnesses.

No test shows the lock of the transfer rounds alone.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -16,6 +16,7 @@
 mod reconcile;
 mod scarcity;
 mod settle;
+mod shared_attempt;
 mod witness;
 
 use std::{
@@ -36,6 +37,7 @@
 
 use self::managed_budget::{BudgetState, ManagedBudget};
 use self::settle::{ReservationSite, send};
+use self::shared_attempt::SharedAttempt;
 pub(crate) use self::{
     messages::{
         CeilingAck, LEAST_URGENT, PeerRequest, ReservationId, ReservationRequest, ReserveReply,
@@ -203,6 +205,9 @@
                     }
                     Err(err) => err.into(),
                 }
+            } else if !self.peers.is_reachable(&owner) {
+                // Another request has found out meanwhile.
+                continue;
             } else {
                 let reservation_id = ReservationId {
                     requester: self.peers.local().incarnation,
@@ -353,8 +358,11 @@
             organisation: organisation.clone(),
             witnesses: Mutex::default(),
             ceiling_lock: tokio::sync::Mutex::default(),
+            ceiling_raise: SharedAttempt::default(),
+            durable_grant: Mutex::default(),
             store_unreachable: AtomicBool::new(false),
-            transfers_requested_at: tokio::sync::Mutex::default(),
+            transfer_round: SharedAttempt::default(),
+            last_transfer_round: Mutex::default(),
             name: organisation.as_str().into(),
             state: Mutex::new(BudgetState {
                 ledger,
@@ -442,7 +450,8 @@
                 }
                 ReserveAttempt::Exhausted => return Err(ReserveError::Exhausted),
                 ReserveAttempt::CeilingTooLow(needed) => {
-                    if !self.raise_ceiling(budget, needed).await {
+                    let raise = self.raise_ceiling(budget, needed);
+                    if !matches!(tokio::time::timeout_at(deadline, raise).await, Ok(true)) {
                         return Err(ReserveError::Short);
                     }
                     continue;
@@ -460,8 +469,13 @@
                 ReserveAttempt::Insufficient => budget.refill.notify_one(),
             }
             let store_unreachable = budget.store_unreachable.load(Ordering::Relaxed);
-            if store_unreachable && !self.request_transfers(budget, paid, tokens).await {
-                return Err(ReserveError::CutOff);
+            if store_unreachable {
+                let transfers = self.request_transfers(budget, paid, tokens);
+                // Those that have arrived by the deadline may suffice.
+                let _elapsed = tokio::time::timeout_at(deadline, transfers).await;
+                if budget.lock().ledger.spendable(&budget.name) < tokens {
+                    return Err(ReserveError::CutOff);
+                }
             }
             if !store_unreachable && tokio::time::timeout_at(deadline, refilled).await.is_err() {
                 // A store that doesn't reply in time counts as unreachable.
--- a/crates/peridotslip-edge/src/budgets/exchange.rs
+++ b/crates/peridotslip-edge/src/budgets/exchange.rs
@@ -135,6 +135,13 @@
             // replied.
             *cached = Some(self.open_record(budget).await?);
         }
+        let needs_durable_grant = self.needs_durable_grant(budget);
+        if needs_durable_grant {
+            // Without a reply of the store, no grant is known to outlast a restore.
+            let sent_at = Instant::now();
+            *cached = Some(self.open_record(budget).await?);
+            self.record_durable_grant(budget, sent_at);
+        }
         let (report, transfers) = {
             let mut state = budget.lock();
             if self.epoch() > StoreEpoch::default() {
@@ -147,7 +154,7 @@
             (state.ledger.report(self.clock.now_ms()), transfers)
         };
         if report.is_empty() && transfers.is_empty() {
-            return Ok(has_open_transfers);
+            return Ok(has_open_transfers || needs_durable_grant);
         }
         for _ in 0..MAX_SWAP_ATTEMPTS {
             let (revision, record) = match cached.take() {
@@ -183,6 +190,7 @@
                         budget.lock().ledger.accept_transfer_reply(reply);
                     }
                     self.accept(budget, &report, &reply);
+                    self.record_durable_grant(budget, sent_at);
                     return Ok(true);
                 }
                 CasOutcome::Conflict(item) => {
--- a/crates/peridotslip-edge/src/budgets/lending.rs
+++ b/crates/peridotslip-edge/src/budgets/lending.rs
@@ -26,23 +26,38 @@
 
 impl BudgetManager {
     /// Requests transfers from other routers while the store can't grant
-    /// tokens. Returns whether `tokens` are spendable afterwards.
+    /// tokens, unless this router has just done so. All requests that lack tokens
+    /// meanwhile wait for the same round.
     pub(super) async fn request_transfers(
-        &self,
-        budget: &ManagedBudget,
+        self: &Arc<Self>,
+        budget: &Arc<ManagedBudget>,
         paid: u64,
         tokens: u64,
-    ) -> bool {
-        let mut transfers_requested_at = budget.transfers_requested_at.lock().await;
-        let enough = || budget.lock().ledger.spendable(&budget.name) >= tokens;
+    ) {
         let min_interval = Duration::from_millis(MIN_TRANSFER_INTERVAL_MS);
+        let last_round = *lock(&budget.last_transfer_round);
+        let is_recent = last_round.is_some_and(|at| at.elapsed() < min_interval);
+        if is_recent && !budget.transfer_round.is_running() {
+            return;
+        }
+        let round = budget.transfer_round.join(|| {
+            let (manager, budget) = (self.clone(), budget.clone());
+            async move {
+                let enough = manager.run_transfer_round(&budget, paid, tokens).await;
+                *lock(&budget.last_transfer_round) = Some(Instant::now());
+                enough
+            }
+        });
+        round.await;
+    }
+
+    /// Requests transfers from one router after another until `tokens` are
+    /// spendable. Returns whether they are.
+    async fn run_transfer_round(&self, budget: &ManagedBudget, paid: u64, tokens: u64) -> bool {
+        let enough = || budget.lock().ledger.spendable(&budget.name) >= tokens;
         if enough() {
             return true;
         }
-        if transfers_requested_at.is_some_and(|at| at.elapsed() < min_interval) {
-            return false;
-        }
-        *transfers_requested_at = Some(Instant::now());
         let request = PeerRequest::RequestTransfer {
             organisation: budget.organisation.clone(),
             tokens: tokens + paid / EXTRA_TRANSFER_DIVISOR,
@@ -68,7 +83,7 @@
     /// the spendable tokens. Otherwise it has all spendable tokens, because
     /// requests don't reserve them here.
     pub(crate) async fn issue_transfer_for(
-        &self,
+        self: &Arc<Self>,
         organisation: &OrganisationName,
         tokens: u64,
     ) -> Option<GrantTransfer> {
@@ -91,7 +106,11 @@
     /// Issues a transfer of up to `tokens`. Transferred tokens count as used, so
     /// witnesses must first record a ceiling that covers them. If no witness
     /// does, the transfer is limited to the current ceiling.
-    async fn issue_transfer(&self, budget: &ManagedBudget, tokens: u64) -> Option<GrantTransfer> {
+    async fn issue_transfer(
+        self: &Arc<Self>,
+        budget: &Arc<ManagedBudget>,
+        tokens: u64,
+    ) -> Option<GrantTransfer> {
         let (used, _) = budget.lock().ledger.max_used(&budget.name);
         if !self.raise_ceiling(budget, used + tokens).await {
             log::warn!(budget = budget.name.as_str(), tokens; "ceiling could not be raised; limiting the transfer");
@@ -123,7 +142,7 @@
     /// Transfers all spendable tokens to the owner, where requests are reserved,
     /// unless this router is the owner itself. Called while the store is
     /// unreachable and tokens can't be returned to the record.
-    pub(super) async fn transfer_to_owner(&self, budget: &ManagedBudget) {
+    pub(super) async fn transfer_to_owner(self: &Arc<Self>, budget: &Arc<ManagedBudget>) {
         if self.is_leaving() || self.is_owner(&budget.organisation) {
             return;
         }
--- a/crates/peridotslip-edge/src/budgets/managed_budget.rs
+++ b/crates/peridotslip-edge/src/budgets/managed_budget.rs
@@ -7,12 +7,15 @@
 
 use peridotslip::{
     ids::{BudgetName, OrganisationName},
-    ledger::{GrantReply, LocalLedger, WitnessSets},
+    ledger::{DurableGrant, GrantReply, LocalLedger, WitnessSets},
     scarcity::ScarcityGate,
 };
 use tokio::sync::Notify;
 
-use super::{RECOVERABLE_SHORTAGE_VALID_MS, SHORTAGE_VALID_MS, reconcile::WrittenRecord};
+use super::{
+    RECOVERABLE_SHORTAGE_VALID_MS, SHORTAGE_VALID_MS, reconcile::WrittenRecord,
+    shared_attempt::SharedAttempt,
+};
 use crate::ports::StoreEpoch;
 
 /// One organisation's budget at this router.
@@ -20,8 +23,10 @@
     pub(super) organisation: OrganisationName,
     /// Whether the last exchange with the store failed.
     pub(super) store_unreachable: AtomicBool,
-    /// When transfers were last requested from other routers.
-    pub(super) transfers_requested_at: tokio::sync::Mutex<Option<Instant>>,
+    /// Requests transfers from other routers.
+    pub(super) transfer_round: SharedAttempt,
+    /// When the last round of such requests ended.
+    pub(super) last_transfer_round: Mutex<Option<Instant>>,
     pub(super) name: BudgetName,
     pub(super) state: Mutex<BudgetState>,
     /// Held during a write to the store, until its reply has been applied.
@@ -32,8 +37,12 @@
     pub(super) record_missing: Mutex<Option<(StoreEpoch, Instant)>>,
     /// The routers that record ceilings for this router.
     pub(super) witnesses: Mutex<WitnessSets>,
-    /// Serialises the raising of the ceiling.
+    /// Serialises the raising of the ceiling and the choice of witnesses.
     pub(super) ceiling_lock: tokio::sync::Mutex<()>,
+    /// Raises the ceiling for the requests that need it.
+    pub(super) ceiling_raise: SharedAttempt,
+    /// The part of the grant that a restore of the store can't undo.
+    pub(super) durable_grant: Mutex<DurableGrant>,
     /// Wakes the task that exchanges reports with the record.
     pub(super) refill: Notify,
     /// Wakes the requests that wait for tokens.
--- a/crates/peridotslip-edge/src/budgets/reconcile.rs
+++ b/crates/peridotslip-edge/src/budgets/reconcile.rs
@@ -26,7 +26,7 @@
 const MIN_PROTOCOL: u32 = 3;
 /// Longest age of a copy of the store for which the routers that may have been
 /// granted tokens since are known, in milliseconds.
-const MAX_COPY_AGE_MS: u64 = 15_000;
+pub(super) const MAX_COPY_AGE_MS: u64 = 15_000;
 /// How long confirmed settlements are retained for the record of a next epoch, in
 /// milliseconds.
 pub(super) const RETENTION_MS: u64 = 2 * MAX_COPY_AGE_MS;
--- a/crates/peridotslip-edge/src/budgets/witness.rs
+++ b/crates/peridotslip-edge/src/budgets/witness.rs
@@ -1,7 +1,11 @@
 //! Ceilings on the use of grants, recorded by other routers, so that the
 //! unused part of a dead router's grant can be reclaimed.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use peridotslip::{
     ids::{BudgetName, Incarnation},
@@ -11,7 +15,7 @@
 
 use super::{
     BudgetManager, CALL_SLACK_MS, CeilingAck, ManagedBudget, PeerRequest, exchange::CachedRecord,
-    lock,
+    lock, reconcile::MAX_COPY_AGE_MS,
 };
 use crate::{
     ports::{CasOutcome, StoreEpoch},
@@ -69,7 +73,8 @@
 
 impl BudgetManager {
     /// Chooses new witnesses if there are none or one of them is unreachable or
-    /// shutting down, and names the new ones in the next report.
+    /// shutting down, and names the new ones in the next report. If no router is
+    /// reachable, the report names none.
     ///
     /// Until the record names the new witnesses, the current ones must record
     /// every ceiling as well.
@@ -80,10 +85,19 @@
                 .iter()
                 .any(|instance| instance.incarnation == *witness)
         };
-        if lock(&budget.witnesses)
+        let newest = lock(&budget.witnesses)
             .newest()
-            .is_some_and(|newest| newest.iter().all(is_available))
-        {
+            .map(<[Incarnation]>::to_vec);
+        if ranked.is_empty() {
+            if newest.is_none() && self.lacks_witnesses(budget)
+                || newest.is_some_and(|newest| !newest.is_empty())
+                    && !self.required_witness_sets(budget).is_empty()
+            {
+                self.release_witnesses(budget).await;
+            }
+            return;
+        }
+        if newest.is_some_and(|newest| !newest.is_empty() && newest.iter().all(is_available)) {
             return;
         }
         let chosen: Vec<Incarnation> = ranked
@@ -91,9 +105,6 @@
             .take(WITNESS_COUNT)
             .map(|instance| instance.incarnation)
             .collect();
-        if chosen.is_empty() {
-            return;
-        }
         let _ceiling_guard = budget.ceiling_lock.lock().await;
         let (used, current) = budget.lock().ledger.max_used(&budget.name);
         let ceiling = current.unwrap_or(0).max(used + Self::ceiling_step(budget));
@@ -112,9 +123,65 @@
         state.ledger.set_ceiling(&budget.name, Some(ceiling));
         state.ledger.set_witnesses(chosen.clone());
         drop(state);
+        log::info!(budget = budget.name.as_str(), witnesses = chosen.len(), ceiling; "chose routers to record the ceiling");
         lock(&budget.witnesses).push(chosen);
     }
 
+    /// Names no witnesses in the next report, because no router is reachable. Once
+    /// the record confirms it, the grant can't be reclaimed and needs no ceiling
+    /// that others have recorded.
+    async fn release_witnesses(&self, budget: &ManagedBudget) {
+        let _ceiling_guard = budget.ceiling_lock.lock().await;
+        let mut state = budget.lock();
+        let (used, ceiling) = state.ledger.max_used(&budget.name);
+        if self.epoch() > StoreEpoch::default() {
+            // No grant has been used without a record of it elsewhere.
+            let ceiling = ceiling.unwrap_or(used);
+            state.ledger.set_ceiling(&budget.name, Some(ceiling));
+        }
+        state.ledger.set_witnesses(Vec::new());
+        drop(state);
+        log::warn!(budget = budget.name.as_str(), used, ceiling; "no router is reachable to record the ceiling; releasing the witnesses");
+        lock(&budget.witnesses).push(Vec::new());
+    }
+
+    /// Returns whether the use of the budget is bounded by the grant that a restore
+    /// of the store can't undo.
+    pub(super) fn needs_durable_grant(&self, budget: &ManagedBudget) -> bool {
+        self.epoch() > StoreEpoch::default()
+            && lock(&budget.witnesses)
+                .newest()
+                .is_some_and(<[Incarnation]>::is_empty)
+    }
+
+    /// Records a reply of the store to a call that was sent at `sent_at`.
+    pub(super) fn record_durable_grant(&self, budget: &ManagedBudget, sent_at: Instant) {
+        let granted = budget.lock().ledger.granted(&budget.name);
+        lock(&budget.durable_grant).record_reply(
+            granted,
+            self.clock.ms_at(sent_at),
+            self.clock.now_ms(),
+            MAX_COPY_AGE_MS,
+        );
+    }
+
+    /// Lifts the ceiling of a budget without witnesses. Returns whether a use of
+    /// `needed` tokens in total is allowed now.
+    fn lift_ceiling(&self, budget: &ManagedBudget, needed: u64) -> bool {
+        if !self.needs_durable_grant(budget) {
+            budget.lock().ledger.set_ceiling(&budget.name, None);
+            return true;
+        }
+        // A restored store may have forgotten later grants, and nothing else shows
+        // how much of them was used.
+        let durable = lock(&budget.durable_grant).tokens();
+        budget.lock().ledger.raise_ceiling(&budget.name, durable);
+        if durable < needed {
+            budget.refill.notify_one();
+        }
+        durable >= needed
+    }
+
     /// Returns whether this router must not use a budget yet, because no witness
     /// has recorded a ceiling. After a restore of the store, a router without a
     /// ceiling could not be told from one that had used nothing.
@@ -134,8 +201,30 @@
     }
 
     /// Raises the ceiling to at least `needed`. Returns whether a use of `needed`
-    /// tokens in total is allowed now.
-    pub(super) async fn raise_ceiling(&self, budget: &ManagedBudget, needed: u64) -> bool {
+    /// tokens in total is allowed now. All requests that need a higher ceiling
+    /// meanwhile wait for the same attempt.
+    pub(super) async fn raise_ceiling(
+        self: &Arc<Self>,
+        budget: &Arc<ManagedBudget>,
+        needed: u64,
+    ) -> bool {
+        loop {
+            let (_, ceiling) = budget.lock().ledger.max_used(&budget.name);
+            if ceiling.is_none_or(|ceiling| ceiling >= needed) {
+                return true;
+            }
+            let attempt = budget.ceiling_raise.join(|| {
+                let (manager, budget) = (self.clone(), budget.clone());
+                async move { manager.try_raise_ceiling(&budget, needed).await }
+            });
+            // The attempt may have been made for another request that needs less.
+            if !attempt.await {
+                return false;
+            }
+        }
+    }
+
+    async fn try_raise_ceiling(&self, budget: &ManagedBudget, needed: u64) -> bool {
         let _ceiling_guard = budget.ceiling_lock.lock().await;
         let (used, ceiling) = budget.lock().ledger.max_used(&budget.name);
         if ceiling.is_none_or(|ceiling| ceiling >= needed) {
@@ -148,11 +237,20 @@
             // which changes the required sets.
             let sets = self.required_witness_sets(budget);
             if sets.is_empty() {
-                budget.lock().ledger.set_ceiling(&budget.name, None);
-                return true;
+                return self.lift_ceiling(budget, needed);
             }
-            if sets == attempted {
-                log::warn!(budget = budget.name.as_str(), needed; "no witness recorded the ceiling; keeping the current one");
+            let unreachable = sets
+                .iter()
+                .filter(|set| !self.has_reachable_witness(set))
+                .count();
+            if sets == attempted || unreachable > 0 {
+                if attempted.is_empty() {
+                    log::debug!(budget = budget.name.as_str(), needed; "no witness is reachable; keeping the current ceiling");
+                } else {
+                    log::warn!(budget = budget.name.as_str(), needed, ceiling, sets = sets.len(), unreachable; "no witness recorded the ceiling; keeping the current one");
+                }
+                // The exchange with the record chooses other witnesses.
+                budget.refill.notify_one();
                 return false;
             }
             let mut recorded = true;
@@ -167,6 +265,15 @@
         }
     }
 
+    /// Returns whether a witness of a set has responded to its last call. The
+    /// others are probed at intervals.
+    fn has_reachable_witness(&self, witnesses: &[Incarnation]) -> bool {
+        let mut instances = witnesses
+            .iter()
+            .filter_map(|witness| self.peers.by_incarnation(*witness));
+        instances.any(|instance| self.peers.is_reachable(&instance))
+    }
+
     /// Returns the witness sets that must each have a router that records a
     /// raised ceiling.
     fn required_witness_sets(&self, budget: &ManagedBudget) -> Vec<Vec<Incarnation>> {
@@ -182,11 +289,14 @@
             return;
         };
         let needed = used + Self::ceiling_step(budget) / 2;
-        if needed <= ceiling || budget.ceiling_lock.try_lock().is_err() {
+        if needed <= ceiling || budget.ceiling_raise.is_running() {
             return;
         }
-        let (manager, budget) = (self.clone(), budget.clone());
-        tokio::spawn(async move { manager.raise_ceiling(&budget, needed).await });
+        // The attempt is a task of its own.
+        drop(budget.ceiling_raise.join(|| {
+            let (manager, budget) = (self.clone(), budget.clone());
+            async move { manager.try_raise_ceiling(&budget, needed).await }
+        }));
     }
 
     /// Sends a ceiling to all `witnesses`. Returns `true` as soon as one of them
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -20,6 +20,7 @@
 
 mod account;
 mod ceiling;
+mod durable_grant;
 mod local_ledger;
 mod reconcile;
 mod record;
@@ -28,6 +29,7 @@
 
 pub use self::account::{Account, Grant};
 pub use self::ceiling::{WitnessSets, WitnessedCeilings};
+pub use self::durable_grant::DurableGrant;
 pub use self::local_ledger::{LocalLedger, RefillPolicy, ReplySummary, Reservation, ReserveResult};
 pub use self::reconcile::{EndedBound, Holding};
 pub use self::record::{GrantHolder, KeyEntry, KeyState, ShardRecord};
--- a/crates/peridotslip/src/ledger/ceiling.rs
+++ b/crates/peridotslip/src/ledger/ceiling.rs
@@ -59,6 +59,8 @@
 /// A record names one set of witnesses. While it may name either of two sets,
 /// one router of each must record a ceiling. A set with a restarted router can
 /// no longer prove how much was used, so its routers need not record ceilings.
+/// An empty set proves nothing: once the record names it, the grant can't be
+/// reclaimed.
 #[derive(Clone, Debug, Default)]
 pub struct WitnessSets {
     sets: Vec<Vec<Incarnation>>,
@@ -87,7 +89,7 @@
     #[must_use]
     pub fn required(&self, is_running: impl Fn(Incarnation) -> bool) -> Vec<Vec<Incarnation>> {
         let mut sets = self.sets.clone();
-        sets.retain(|set| set.iter().all(|witness| is_running(*witness)));
+        sets.retain(|set| !set.is_empty() && set.iter().all(|witness| is_running(*witness)));
         sets
     }
 }
--- a/crates/peridotslip/src/ledger/local_ledger.rs
+++ b/crates/peridotslip/src/ledger/local_ledger.rs
@@ -66,8 +66,8 @@
     /// Settlements of received transfers that no reply has confirmed, by issuer
     /// and the issuer's sequence number.
     transfer_outbox: BTreeMap<(Incarnation, u64), Settlement>,
-    /// The newest set of witnesses until a reply confirms it, then empty.
-    unconfirmed_witnesses: Vec<Incarnation>,
+    /// The newest set of witnesses until a reply confirms it, then `None`.
+    unconfirmed_witnesses: Option<Vec<Incarnation>>,
     /// The version of the newest set of witnesses; 0 before the first.
     witness_set_version: u64,
     /// Transfers that have been received, so that none counts twice.
@@ -101,7 +101,7 @@
             accounts: HashMap::new(),
             outbox: BTreeMap::new(),
             transfer_outbox: BTreeMap::new(),
-            unconfirmed_witnesses: Vec::new(),
+            unconfirmed_witnesses: None,
             witness_set_version: 0,
             seen_transfers: HashSet::new(),
             claims: BTreeMap::new(),
@@ -327,11 +327,7 @@
             paid: of(|account| account.paid),
             granted: of(|account| account.granted),
             returned: of(|account| account.returned),
-            witness_set_version: if witnesses.is_empty() {
-                0
-            } else {
-                self.witness_set_version
-            },
+            witness_set_version: self.witness_set_version,
             witnesses,
             settlements: own,
             transfers: transfers.into_values().collect(),
@@ -360,6 +356,13 @@
         account.map_or((0, None), |account| (account.max_used(), account.ceiling))
     }
 
+    /// Returns the total tokens of `budget` that replies have granted.
+    #[must_use]
+    pub fn granted(&self, budget: &BudgetName) -> u64 {
+        let account = self.accounts.get(budget);
+        account.map_or(0, |account| account.granted)
+    }
+
     /// Returns the current spend rate of `budget`, in tokens per second.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -371,13 +374,13 @@
     /// Returns whether the record names the newest set of witnesses.
     #[must_use]
     pub fn witness_set_confirmed(&self) -> bool {
-        self.unconfirmed_witnesses.is_empty()
+        self.unconfirmed_witnesses.is_none()
     }
 
-    /// Sets the routers that record ceilings. Reports name them until a reply
-    /// confirms the set.
+    /// Sets the routers that record ceilings, or none. Reports name them until a
+    /// reply confirms the set.
     pub fn set_witnesses(&mut self, witnesses: Vec<Incarnation>) {
-        self.unconfirmed_witnesses = witnesses;
+        self.unconfirmed_witnesses = Some(witnesses);
         self.witness_set_version += 1;
     }
 
@@ -553,11 +556,11 @@
             settlements: self.outbox.values().cloned().collect(),
             claims: self.claims.values().copied().collect(),
             closed: self.closing && !self.closed,
-            witnesses: self.unconfirmed_witnesses.clone(),
-            witness_set_version: if self.unconfirmed_witnesses.is_empty() {
-                0
-            } else {
+            witnesses: self.unconfirmed_witnesses.clone().unwrap_or_default(),
+            witness_set_version: if self.unconfirmed_witnesses.is_some() {
                 self.witness_set_version
+            } else {
+                0
             },
         }
     }
@@ -592,7 +595,7 @@
             .collect();
         self.closed |= reply.closed;
         if reply.witness_set_version == self.witness_set_version {
-            self.unconfirmed_witnesses.clear();
+            self.unconfirmed_witnesses = None;
         }
         ReplySummary { settled, claims }
     }
--- a/crates/peridotslip/src/ledger/reconcile.rs
+++ b/crates/peridotslip/src/ledger/reconcile.rs
@@ -101,6 +101,11 @@
         }
         let mut charged = 0;
         for (incarnation, bound) in ended {
+            if *bound != EndedBound::Recorded {
+                // The router may have changed or released the witnesses that the
+                // record names, which then don't know how much it used.
+                self.drop_witnesses(*incarnation);
+            }
             charged += match bound {
                 EndedBound::Recorded => 0,
                 EndedBound::Ceiling(ceiling) => self.restore_grant(budget, *incarnation, *ceiling),
--- a/crates/peridotslip/src/ledger/record.rs
+++ b/crates/peridotslip/src/ledger/record.rs
@@ -306,6 +306,13 @@
         before - grant.outstanding()
     }
 
+    /// Names no witnesses of an incarnation, so that its grant can't be reclaimed.
+    pub(super) fn drop_witnesses(&mut self, incarnation: Incarnation) {
+        if let Some(entry) = self.incarnations.get_mut(&incarnation) {
+            entry.witnesses.clear();
+        }
+    }
+
     /// Returns the total tokens granted to an incarnation.
     pub(super) fn granted(&self, budget: &BudgetName, incarnation: Incarnation) -> u64 {
         let account = self.accounts.get(budget);
--- a/crates/peridotslip/src/ledger/report.rs
+++ b/crates/peridotslip/src/ledger/report.rs
@@ -122,10 +122,10 @@
     /// Whether the incarnation has ended.
     pub closed: bool,
     /// The routers that record ceilings for the incarnation from now on; empty
-    /// if the set does not change.
+    /// if none does or the set does not change.
     pub witnesses: Vec<Incarnation>,
     /// The version of the witness set, from 1, so that a late report does not
-    /// restore an earlier set; 0 if `witnesses` is empty.
+    /// restore an earlier set; 0 if the set does not change.
     pub witness_set_version: u64,
 }
 
@@ -137,7 +137,7 @@
         self.budgets.is_empty()
             && self.settlements.is_empty()
             && self.claims.is_empty()
-            && self.witnesses.is_empty()
+            && self.witness_set_version == 0
             && !self.closed
     }
 }
--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -67,6 +67,10 @@
         noted_by: usize,
         skipped: usize,
     },
+    /// A router that reaches no other names no witnesses.
+    DropWitnesses {
+        router: usize,
+    },
     /// A process dies, and another incarnation replaces it.
     Kill {
         router: usize,
@@ -93,6 +97,7 @@
         3 => (0..64_usize).prop_map(|message| Step::Accept { message }),
         2 => (router(), 0..WITNESSES, 1..ROUTERS)
             .prop_map(|(router, noted_by, skipped)| Step::Rechoose { router, noted_by, skipped }),
+        1 => router().prop_map(|router| Step::DropWitnesses { router }),
         1 => router().prop_map(|router| Step::Kill { router }),
         3 => (0..16_usize).prop_map(|dead| Step::Release { dead }),
     ]
@@ -382,6 +387,13 @@
                     self.choose_witnesses(router, noted_by, skipped);
                 }
             }
+            Step::DropWitnesses { router } => {
+                let process = &mut self.processes[router];
+                if process.witnesses.required(|_| true).len() < 2 {
+                    process.ledger.set_witnesses(Vec::new());
+                    process.witnesses.push(Vec::new());
+                }
+            }
             Step::Kill { router } => self.kill(router),
             Step::Release { dead } => self.reclaim(dead),
         }
