Settle reservations at other routers until they are acknowledged

Cause: A reservation call that the owner read once it woke was carried out, although its requester had given it up. What would have ended it, and the settlements of requests that ended meanwhile, was sent three times within 1.2 s and then dropped; the owner booked the tokens as spent after 60 s. Ruled out: the settlements to the record, which all arrived.

Change: A requester keeps its settlements for each owner until they are acknowledged or a later router runs on the owner's VM. Once a second, and after each call without a reply, it also lists its open reservations. Reservations of a router that still runs are never booked as spent by age. Transfers of grants are delivered until they are acknowledged too, and again if the reply to a request for them may be lost. A stopping router waits for acknowledgements within its grace. Protocol 9; earlier routers get the messages of before.

No test shows a lost reply to a request for a transfer.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -25,18 +25,21 @@
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use peridotslip::{
-    ids::OrganisationName,
-    ledger::{Bill, LocalLedger, RefillPolicy, Reservation, ReserveResult, WitnessedCeilings},
+    ids::{Incarnation, OrganisationName},
+    ledger::{
+        Bill, LocalLedger, RefillPolicy, RemoteReservations, Reservation, ReserveResult,
+        WitnessedCeilings,
+    },
     scarcity::ScarcityGate,
 };
 use tokio::sync::Notify;
 
 use self::managed_budget::{BudgetState, ManagedBudget};
-use self::settle::{ReservationSite, send};
+use self::settle::{HeldReservation, OwnerLink, ReservationSite};
 use self::shared_attempt::SharedAttempt;
 pub(crate) use self::{
     messages::{
@@ -108,9 +111,6 @@
     }
 }
 
-/// An owner and the settlements to be sent to it, each with the tokens used.
-type SettlementBatch = (RouterInstance, Vec<(ReservationId, u64)>);
-
 /// The result of one attempt to reserve tokens of a managed budget.
 enum ReserveAttempt {
     Reserved(Reservation),
@@ -135,13 +135,13 @@
     settings: Money,
     /// The budgets that this router spends from or owns.
     budgets: Mutex<HashMap<OrganisationName, Arc<ManagedBudget>>>,
-    /// Open reservations of other routers at this router, with the time at which
-    /// each was made.
-    remote_reservations: Mutex<HashMap<ReservationId, (OrganisationName, Reservation, Instant)>>,
-    /// Settlements to be sent, by the VM of the owner.
-    outbox: Mutex<HashMap<String, SettlementBatch>>,
+    /// Open reservations of other routers at this router, by requester.
+    remote_reservations: Mutex<HashMap<Incarnation, RemoteReservations<HeldReservation>>>,
+    /// This router's reservations at other routers, by owner.
+    owner_links: Mutex<HashMap<Incarnation, OwnerLink>>,
     settlement_queued: Notify,
-    /// The number of this router's next remote reservation.
+    /// The number of this router's next remote reservation. Changed only while
+    /// `owner_links` is locked, so that a list of open reservations is complete.
     next_seq: AtomicU64,
     leaving: AtomicBool,
     /// Set once the store has this router's entry.
@@ -173,7 +173,7 @@
             settings,
             budgets: Mutex::default(),
             remote_reservations: Mutex::default(),
-            outbox: Mutex::default(),
+            owner_links: Mutex::default(),
             settlement_queued: Notify::new(),
             next_seq: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -209,11 +209,9 @@
                 // Another request has found out meanwhile.
                 continue;
             } else {
-                let reservation_id = ReservationId {
-                    requester: self.peers.local().incarnation,
-                    seq: self.next_seq.fetch_add(1, Ordering::Relaxed),
-                };
-                let guard = self.guard(ReservationSite::Remote(owner.clone(), reservation_id));
+                let reservation_id = self.begin_remote_reservation(&owner);
+                let site = ReservationSite::Remote(owner.incarnation, reservation_id.seq);
+                let guard = self.guard(site);
                 let reply = self
                     .request_reservation(&owner, organisation, request, reservation_id)
                     .await;
@@ -221,11 +219,13 @@
                     Some(ReserveReply::Held) => return Ok(guard),
                     Some(reply) => {
                         guard.disarm();
+                        self.refuse_remote_reservation(&owner, reservation_id);
                         reply
                     }
                     // Dropping `guard` releases the tokens if the owner has
-                    // reserved them.
+                    // reserved them or does so later.
                     None => {
+                        self.lose_reply(&owner);
                         log::info!(id, organisation = organisation.as_str(), tokens = request.tokens, home = owner.vm.as_str(); "owner did not reply; trying the next candidate");
                         continue;
                     }
@@ -283,22 +283,39 @@
         request: ReservationRequest,
         reservation_id: ReservationId,
     ) -> ReserveReply {
-        if lock(&self.remote_reservations).contains_key(&reservation_id) {
-            return ReserveReply::Held;
+        let ReservationId { requester, seq } = reservation_id;
+        {
+            let mut remote = lock(&self.remote_reservations);
+            let reservations = remote.entry(requester).or_default();
+            if reservations.is_held(seq) {
+                return ReserveReply::Held;
+            }
+            if reservations.is_closed(seq) {
+                log::info!(organisation = organisation.as_str(), tokens = request.tokens; "reservation was given up by its requester before it was made");
+                return ReserveReply::Elsewhere;
+            }
         }
         if self.is_leaving() {
             return ReserveReply::Elsewhere;
         }
         match self.reserve_locally(&organisation, request).await {
             Ok(reservation) => {
-                let entry = (organisation, reservation, Instant::now());
-                let replaced = lock(&self.remote_reservations).insert(reservation_id, entry);
-                // A repetition of the request may have been handled concurrently;
-                // its reservation is cancelled.
-                if let Some((organisation, reservation, _)) = replaced {
-                    self.settle_locally(&organisation, reservation, 0);
+                let held = HeldReservation::new(organisation, reservation);
+                let mut remote = lock(&self.remote_reservations);
+                let reservations = remote.entry(requester).or_default();
+                // The requester may have given up meanwhile, and a repetition of the
+                // request may have been handled concurrently.
+                let cancelled = reservations.hold(seq, held);
+                let is_held = reservations.is_held(seq);
+                drop(remote);
+                if let Some(cancelled) = cancelled {
+                    self.settle_locally(&cancelled.organisation, cancelled.reservation, 0);
+                }
+                if is_held {
+                    ReserveReply::Held
+                } else {
+                    ReserveReply::Elsewhere
                 }
-                ReserveReply::Held
             }
             Err(err) => err.into(),
         }
--- a/crates/peridotslip-edge/src/budgets/lending.rs
+++ b/crates/peridotslip-edge/src/budgets/lending.rs
@@ -12,7 +12,7 @@
     ledger::GrantTransfer,
 };
 
-use super::{BudgetManager, CALL_SLACK_MS, LEAST_URGENT, ManagedBudget, PeerRequest, lock, send};
+use super::{BudgetManager, CALL_SLACK_MS, LEAST_URGENT, ManagedBudget, PeerRequest, lock};
 use crate::peers::RouterInstance;
 
 /// The shortest time between two rounds of transfer requests for one
@@ -21,6 +21,13 @@
 /// In addition to the needed tokens, a round requests the paid amount divided
 /// by this number.
 const EXTRA_TRANSFER_DIVISOR: u64 = 20;
+/// The pause after the first failed delivery of transfers, in milliseconds. Each further
+/// failure doubles it.
+const FIRST_DELIVERY_PAUSE_MS: u64 = 100;
+/// The longest pause between two deliveries of transfers, in milliseconds.
+const MAX_DELIVERY_PAUSE_MS: u64 = 1_000;
+/// Longest wait of a stopping router for the delivery to one router, in milliseconds.
+const DELIVERY_WAIT_MS: u64 = 1_200;
 /// The largest number of routers that one round requests transfers from.
 const MAX_ISSUERS: usize = 8;
 
@@ -58,15 +65,27 @@
         if enough() {
             return true;
         }
-        let request = PeerRequest::RequestTransfer {
-            organisation: budget.organisation.clone(),
-            tokens: tokens + paid / EXTRA_TRANSFER_DIVISOR,
+        let organisation = budget.organisation.clone();
+        let tokens = tokens + paid / EXTRA_TRANSFER_DIVISOR;
+        let request = PeerRequest::RequestTransferFor {
+            requester: self.peers.local().incarnation,
+            organisation: organisation.clone(),
+            tokens,
+        };
+        let earlier_request = PeerRequest::RequestTransfer {
+            organisation,
+            tokens,
         };
         let issuers = self.peers.owners(budget.organisation.as_str(), false);
         for issuer in issuers.into_iter().take(MAX_ISSUERS) {
             let timeout = Duration::from_millis(CALL_SLACK_MS);
+            let request = if issuer.reads_open_reservations() {
+                &request
+            } else {
+                &earlier_request
+            };
             let reply: crate::rpc::Result<Option<GrantTransfer>> =
-                self.peers.call(&issuer, &request, timeout).await;
+                self.peers.call(&issuer, request, timeout).await;
             if let Ok(Some(transfer)) = reply {
                 log::info!(budget = budget.name.as_str(), lender = issuer.vm.as_str(), tokens = transfer.tokens; "received a transfer while the store is unreachable");
                 budget.lock().ledger.transfer_in(transfer);
@@ -78,6 +97,52 @@
         false
     }
 
+    /// Like [`issue_transfer_for`](Self::issue_transfer_for), and delivers the transfer
+    /// until `requester` acknowledges it, because the reply may be lost.
+    pub(crate) async fn issue_transfer_to(
+        self: &Arc<Self>,
+        requester: Incarnation,
+        organisation: &OrganisationName,
+        tokens: u64,
+    ) -> Option<GrantTransfer> {
+        let transfer = self.issue_transfer_for(organisation, tokens).await?;
+        if let Some(receiver) = self.peers.by_incarnation(requester) {
+            let transfers = vec![(organisation.clone(), transfer.clone())];
+            tokio::spawn(self.clone().deliver_transfers(receiver, transfers));
+        }
+        Some(transfer)
+    }
+
+    /// Sends transfers until the receiver acknowledges them or has ended. The receiver
+    /// accepts each transfer once.
+    async fn deliver_transfers(
+        self: Arc<Self>,
+        receiver: RouterInstance,
+        transfers: Vec<(OrganisationName, GrantTransfer)>,
+    ) {
+        let tokens: u64 = transfers.iter().map(|(_, transfer)| transfer.tokens).sum();
+        let request = PeerRequest::DeliverTransfers {
+            incarnation: receiver.incarnation,
+            transfers,
+        };
+        let timeout = Duration::from_millis(2 * CALL_SLACK_MS);
+        let home = receiver.vm.as_str();
+        let mut pause_ms = FIRST_DELIVERY_PAUSE_MS;
+        while !self.peers.has_ended(&receiver) {
+            let reply = self
+                .peers
+                .call::<_, bool>(&receiver, &request, timeout)
+                .await;
+            if reply.is_ok() {
+                return;
+            }
+            log::info!(home, tokens; "router did not acknowledge transfers; sending them again");
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            pause_ms = (pause_ms * 2).min(MAX_DELIVERY_PAUSE_MS);
+        }
+        log::warn!(home, tokens; "router has ended before it acknowledged transfers; counting the tokens as spent");
+    }
+
     /// Issues a transfer to another router that has requested `tokens`. If this
     /// router is the owner, the transfer has up to `tokens` and at most half of
     /// the spendable tokens. Otherwise it has all spendable tokens, because
@@ -156,11 +221,8 @@
         }
         if let Some(transfer) = self.issue_transfer(budget, spendable).await {
             log::info!(budget = budget.name.as_str(), home = owner.vm.as_str(), tokens = transfer.tokens; "transferring tokens to the owner while the store is unreachable");
-            let request = PeerRequest::DeliverTransfers {
-                incarnation: owner.incarnation,
-                transfers: vec![(budget.organisation.clone(), transfer)],
-            };
-            send(&self.peers, &owner, &request).await;
+            let transfers = vec![(budget.organisation.clone(), transfer)];
+            tokio::spawn(self.clone().deliver_transfers(owner, transfers));
         }
     }
 
@@ -185,11 +247,10 @@
         for (owner, transfers) in groups.into_values() {
             let tokens: u64 = transfers.iter().map(|(_, transfer)| transfer.tokens).sum();
             log::info!(home = owner.vm.as_str(), tokens; "transferring tokens to the next owner");
-            let request = PeerRequest::DeliverTransfers {
-                incarnation: owner.incarnation,
-                transfers,
-            };
-            send(&self.peers, &owner, &request).await;
+            let delivery = tokio::spawn(self.clone().deliver_transfers(owner, transfers));
+            // The delivery goes on after that time.
+            let timeout = Duration::from_millis(DELIVERY_WAIT_MS);
+            let _elapsed = tokio::time::timeout(timeout, delivery).await;
         }
     }
 
--- a/crates/peridotslip-edge/src/budgets/messages.rs
+++ b/crates/peridotslip-edge/src/budgets/messages.rs
@@ -3,7 +3,7 @@
 use peridotslip::{
     forwarding::{CrashObservation, LimitNews, OriginRecord, PoolAsk, StreamOrigin, WarmupAsk},
     ids::{BudgetName, Incarnation, OrganisationName},
-    ledger::GrantTransfer,
+    ledger::{GrantTransfer, SettlementBatch},
 };
 use serde::{Deserialize, Serialize};
 
@@ -103,6 +103,20 @@
     FollowWithProof(FollowRequest),
     /// Asks a relay how current its routing table is. Sent to routers that know protocol 8.
     ProveTable,
+    /// Ends reservations of `requester`, and lists those that are open. Sent instead of
+    /// `Settle` to routers that know protocol 9.
+    SettleReservations {
+        requester: Incarnation,
+        batch: SettlementBatch,
+    },
+    /// Requests a transfer of tokens that the store can't grant now. Sent instead of
+    /// `RequestTransfer` to routers that know protocol 9, which deliver the transfer again
+    /// if the reply is lost.
+    RequestTransferFor {
+        requester: Incarnation,
+        organisation: OrganisationName,
+        tokens: u64,
+    },
 }
 
 /// The priority of a reservation whose requester does not state one.
@@ -139,6 +153,7 @@
             Self::Reserve { .. }
             | Self::ReserveWithPriority { .. }
             | Self::Settle(_)
+            | Self::SettleReservations { .. }
             | Self::DeliverTransfers { .. }
             | Self::RaiseCeiling { .. }
             | Self::SealCeiling { .. }
@@ -159,6 +174,7 @@
             // Each reply issues a transfer, a permit or leases of its own, and a report
             // counts each time.
             Self::RequestTransfer { .. }
+            | Self::RequestTransferFor { .. }
             | Self::TakePermit(_)
             | Self::TakeWarmupPermit(_)
             | Self::PoolSecondAttempts(_) => false,
--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -1,101 +1,277 @@
 //! Settling reservations at this router or at the owner.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
+    time::{Duration, Instant},
 };
 
 use peridotslip::{
-    ids::OrganisationName,
-    ledger::{RequestUsage, Reservation},
+    ids::{Incarnation, OrganisationName},
+    ledger::{RequestUsage, RequestedReservations, Reservation, SettlementBatch},
 };
 
 use super::{BudgetManager, CALL_SLACK_MS, PeerRequest, ReservationId, lock};
-use crate::peers::{Peers, RouterInstance};
+use crate::peers::RouterInstance;
 
-/// The time over which settlements to owners are batched, and the pause before
-/// a request is sent again, in milliseconds.
+/// The time over which settlements to owners are batched, and the pause before they are
+/// sent again, in milliseconds.
 const SETTLE_BATCH_MS: u64 = 100;
-/// The largest number of attempts to send settlements or transfers.
-const SEND_ATTEMPTS: u32 = 3;
-/// The age at which another router's reservation counts as spent, in
+/// The pause between two messages to an owner that does not respond, in milliseconds.
+const UNREACHABLE_PAUSE_MS: u64 = 1_000;
+/// Longest wait for an acknowledgement, in milliseconds.
+const SETTLE_TIMEOUT_MS: u64 = 2 * CALL_SLACK_MS;
+/// The age at which the reservation of a router that has ended counts as spent, in
 /// milliseconds: longer than any request lasts.
 const REMOTE_RESERVATION_AGE_MS: u64 = 60_000;
 
+/// A reservation of another router at this one.
+#[derive(Debug)]
+pub(super) struct HeldReservation {
+    pub(super) organisation: OrganisationName,
+    pub(super) reservation: Reservation,
+    since: Instant,
+}
+
+impl HeldReservation {
+    pub(super) fn new(organisation: OrganisationName, reservation: Reservation) -> Self {
+        Self {
+            organisation,
+            reservation,
+            since: Instant::now(),
+        }
+    }
+}
+
+/// This router's reservations at one owner.
+pub(super) struct OwnerLink {
+    owner: RouterInstance,
+    reservations: RequestedReservations,
+    is_sending: bool,
+    /// When settlements were last sent.
+    sent_at: Option<Instant>,
+}
+
+impl OwnerLink {
+    fn new(owner: RouterInstance) -> Self {
+        Self {
+            owner,
+            reservations: RequestedReservations::default(),
+            is_sending: false,
+            sent_at: None,
+        }
+    }
+
+    /// Returns whether settlements are to be sent now.
+    fn is_due(&self, is_reachable: bool) -> bool {
+        let pause = Duration::from_millis(UNREACHABLE_PAUSE_MS);
+        let has_paused = self.sent_at.is_none_or(|at| at.elapsed() >= pause);
+        !self.is_sending && !self.reservations.is_acknowledged() && (is_reachable || has_paused)
+    }
+}
+
 impl BudgetManager {
-    /// Settles other routers' reservations, each with the tokens used.
+    /// Settles other routers' reservations, each with the tokens used. Their requesters
+    /// know no later version of the messages.
     pub(crate) fn settle_for(&self, settlements: &[(ReservationId, u64)]) {
         for (reservation_id, used) in settlements {
-            let found = lock(&self.remote_reservations).remove(reservation_id);
-            if let Some((organisation, reservation, _)) = found {
-                self.settle_locally(&organisation, reservation, *used);
+            let mut remote = lock(&self.remote_reservations);
+            let reservations = remote.get_mut(&reservation_id.requester);
+            let settled = reservations.and_then(|held| held.settle(reservation_id.seq));
+            drop(remote);
+            if let Some(held) = settled {
+                self.settle_locally(&held.organisation, held.reservation, *used);
             }
         }
         self.expire_remote_reservations();
     }
 
+    /// Settles the reservations of `requester` that have ended, and releases those that it
+    /// no longer knows.
+    pub(crate) fn apply_settlements(&self, requester: Incarnation, batch: &SettlementBatch) {
+        let mut remote = lock(&self.remote_reservations);
+        let ended = remote.entry(requester).or_default().apply(batch);
+        drop(remote);
+        for (held, used) in ended {
+            self.settle_locally(&held.organisation, held.reservation, used);
+        }
+        self.expire_remote_reservations();
+    }
+
+    /// Counts the old reservations of routers that have ended as spent. A router that
+    /// still runs settles its reservations, however late.
     fn expire_remote_reservations(&self) {
         let age = Duration::from_millis(REMOTE_RESERVATION_AGE_MS);
-        let expired: Vec<ReservationId> = lock(&self.remote_reservations)
-            .iter()
-            .filter(|(_, (_, _, since))| since.elapsed() > age)
-            .map(|(reservation_id, _)| *reservation_id)
-            .collect();
-        for reservation_id in expired {
-            let found = lock(&self.remote_reservations).remove(&reservation_id);
-            if let Some((organisation, reservation, _)) = found {
-                let tokens = reservation.tokens();
-                log::warn!(organisation = organisation.as_str(), tokens; "reservation of another router was not settled in time; counting it as spent");
-                self.settle_locally(&organisation, reservation, tokens);
+        let running = self.peers.incarnations();
+        let mut expired = Vec::new();
+        lock(&self.remote_reservations).retain(|requester, reservations| {
+            let has_ended = !running.contains(requester);
+            if has_ended {
+                expired.extend(reservations.take_if(|held| held.since.elapsed() > age));
             }
+            !has_ended || !reservations.is_empty()
+        });
+        for held in expired {
+            let tokens = held.reservation.tokens();
+            log::warn!(organisation = held.organisation.as_str(), tokens; "reservation of a router that has ended was not settled; counting it as spent");
+            self.settle_locally(&held.organisation, held.reservation, tokens);
+        }
+    }
+
+    /// Numbers a reservation that is going to be requested from `owner`.
+    pub(super) fn begin_remote_reservation(&self, owner: &RouterInstance) -> ReservationId {
+        let mut links = lock(&self.owner_links);
+        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+        let link = links
+            .entry(owner.incarnation)
+            .or_insert_with(|| OwnerLink::new(owner.clone()));
+        link.reservations.begin(seq);
+        ReservationId {
+            requester: self.peers.local().incarnation,
+            seq,
+        }
+    }
+
+    /// Records the owner's reply that it has reserved nothing.
+    pub(super) fn refuse_remote_reservation(&self, owner: &RouterInstance, id: ReservationId) {
+        if let Some(link) = lock(&self.owner_links).get_mut(&owner.incarnation) {
+            link.reservations.refuse(id.seq);
         }
     }
 
+    /// Records that an owner has not replied to a request for a reservation.
+    pub(super) fn lose_reply(&self, owner: &RouterInstance) {
+        if let Some(link) = lock(&self.owner_links).get_mut(&owner.incarnation) {
+            link.reservations.lose_reply();
+        }
+    }
+
+    fn end_remote_reservation(&self, owner: Incarnation, seq: u64, used: u64) {
+        let mut links = lock(&self.owner_links);
+        // The owner of a link that is gone has ended.
+        let Some(link) = links.get_mut(&owner) else {
+            return;
+        };
+        if !link.reservations.end(seq, used) {
+            log::error!(home = link.owner.vm.as_str(), used; "too many settlements are not acknowledged; the owner counts the tokens as reserved");
+        }
+        drop(links);
+        self.settlement_queued.notify_one();
+    }
+
     /// Sends settlements to owners in batches until the process ends.
     pub(super) async fn send_settlements(self: Arc<Self>) {
         loop {
-            self.settlement_queued.notified().await;
+            if !self.has_settlements() {
+                self.settlement_queued.notified().await;
+            }
             tokio::time::sleep(Duration::from_millis(SETTLE_BATCH_MS)).await;
-            let batches: Vec<_> = lock(&self.outbox).drain().map(|(_, batch)| batch).collect();
-            for (owner, settlements) in batches {
-                tokio::spawn(send_batch(self.peers.clone(), owner, settlements));
+            self.drop_ended_owners();
+            for owner in self.due_owners() {
+                tokio::spawn(self.clone().send_batch(owner));
             }
         }
     }
 
-    /// Returns whether other routers have open reservations at this router.
-    pub(crate) fn has_remote_reservations(&self) -> bool {
-        !lock(&self.remote_reservations).is_empty()
+    fn has_settlements(&self) -> bool {
+        let links = lock(&self.owner_links);
+        let mut links = links.values();
+        links.any(|link| !link.reservations.is_acknowledged())
     }
-}
 
-async fn send_batch(
-    peers: Arc<Peers>,
-    owner: RouterInstance,
-    settlements: Vec<(ReservationId, u64)>,
-) {
-    send(&peers, &owner, &PeerRequest::Settle(settlements)).await;
-}
+    /// Forgets what owners hold that have ended. Their grants are reclaimed.
+    fn drop_ended_owners(&self) {
+        lock(&self.owner_links).retain(|_, link| {
+            let has_ended = self.peers.has_ended(&link.owner);
+            if has_ended && !link.reservations.is_done() {
+                let settlements = link.reservations.unacknowledged();
+                log::warn!(home = link.owner.vm.as_str(), settlements; "owner has ended before it acknowledged settlements");
+            }
+            !has_ended
+        });
+    }
+
+    /// Returns the owners to which settlements are to be sent now, and marks them.
+    fn due_owners(&self) -> Vec<RouterInstance> {
+        let mut links = lock(&self.owner_links);
+        let due = links
+            .values_mut()
+            .filter(|link| link.is_due(self.peers.is_reachable(&link.owner)));
+        due.map(|link| {
+            link.is_sending = true;
+            link.owner.clone()
+        })
+        .collect()
+    }
 
-/// Sends a request until it is acknowledged, at most [`SEND_ATTEMPTS`] times.
-/// The receiver applies a repeated request once.
-pub(super) async fn send(peers: &Peers, owner: &RouterInstance, request: &PeerRequest) {
-    for _ in 0..SEND_ATTEMPTS {
-        let timeout = Duration::from_millis(CALL_SLACK_MS * 2);
-        if peers.call::<_, bool>(owner, request, timeout).await.is_ok() {
+    async fn send_batch(self: Arc<Self>, owner: RouterInstance) {
+        let (batch, lost_replies) = {
+            let mut links = lock(&self.owner_links);
+            let next = self.next_seq.load(Ordering::Relaxed);
+            let Some(link) = links.get_mut(&owner.incarnation) else {
+                return;
+            };
+            link.sent_at = Some(Instant::now());
+            link.reservations.batch(next, self.clock.now_ms())
+        };
+        let requester = self.peers.local().incarnation;
+        let message = if owner.reads_open_reservations() {
+            let batch = batch.clone();
+            PeerRequest::SettleReservations { requester, batch }
+        } else {
+            let settlements = batch.settlements.iter();
+            let with_id = settlements.map(|(seq, used)| {
+                let seq = *seq;
+                (ReservationId { requester, seq }, *used)
+            });
+            PeerRequest::Settle(with_id.collect())
+        };
+        let timeout = Duration::from_millis(SETTLE_TIMEOUT_MS);
+        let reply = self.peers.call::<_, bool>(&owner, &message, timeout).await;
+        let mut links = lock(&self.owner_links);
+        let Some(link) = links.get_mut(&owner.incarnation) else {
             return;
+        };
+        link.is_sending = false;
+        match reply {
+            Ok(_) => link.reservations.acknowledge(&batch, lost_replies),
+            Err(err) => {
+                let settlements = batch.settlements.len();
+                log::info!(home = owner.vm.as_str(), settlements, reason = err.to_string().as_str(); "owner did not acknowledge settlements; sending them again");
+            }
         }
-        tokio::time::sleep(Duration::from_millis(SETTLE_BATCH_MS)).await;
     }
-    log::warn!(home = owner.vm.as_str(); "owner did not acknowledge settlements or transfers; counting the tokens as spent");
+
+    /// Returns whether other routers that are reachable have open reservations at this
+    /// router.
+    pub(crate) fn has_remote_reservations(&self) -> bool {
+        let remote = lock(&self.remote_reservations);
+        let mut requesters = remote
+            .iter()
+            .filter(|(_, reservations)| !reservations.is_empty());
+        requesters.any(|(requester, _)| self.is_reachable(*requester))
+    }
+
+    /// Returns whether an owner that is reachable has not acknowledged settlements.
+    pub(crate) fn has_unacknowledged_settlements(&self) -> bool {
+        let links = lock(&self.owner_links);
+        let mut links = links
+            .iter()
+            .filter(|(_, link)| !link.reservations.is_acknowledged());
+        links.any(|(owner, _)| self.is_reachable(*owner))
+    }
+
+    fn is_reachable(&self, router: Incarnation) -> bool {
+        let instance = self.peers.by_incarnation(router);
+        instance.is_some_and(|instance| self.peers.is_reachable(&instance))
+    }
 }
 
 /// The router at which tokens are reserved.
 pub(super) enum ReservationSite {
     /// This router owns the budget or acts in place of the owner.
     Local(OrganisationName, Reservation),
-    /// Another router has made the reservation.
-    Remote(RouterInstance, ReservationId),
+    /// The router with this incarnation has made the reservation of this number.
+    Remote(Incarnation, u64),
 }
 
 /// Tokens reserved for a request. Dropping the guard settles the used tokens
@@ -134,14 +310,8 @@
                 self.manager
                     .settle_locally(&organisation, reservation, used);
             }
-            Some(ReservationSite::Remote(owner, reservation_id)) => {
-                let mut outbox = lock(&self.manager.outbox);
-                let batch = outbox
-                    .entry(owner.vm.clone())
-                    .or_insert_with(|| (owner, Vec::new()));
-                batch.1.push((reservation_id, used));
-                drop(outbox);
-                self.manager.settlement_queued.notify_one();
+            Some(ReservationSite::Remote(owner, seq)) => {
+                self.manager.end_remote_reservation(owner, seq, used);
             }
         }
     }
--- a/crates/peridotslip-edge/src/peers.rs
+++ b/crates/peridotslip-edge/src/peers.rs
@@ -36,8 +36,9 @@
 /// limits of servers, version 5 the store's changes, version 6 permits for cold
 /// servers, all keys that operators write, and the preference for large VMs as owners,
 /// version 7 the origins of streams for the store, and pools of second attempts, version
-/// 8 how current a relay's routing table is.
-pub(crate) const PROTOCOL: u32 = 8;
+/// 8 how current a relay's routing table is, version 9 lists of open reservations, and
+/// transfers whose reply may be lost.
+pub(crate) const PROTOCOL: u32 = 9;
 /// How long an ended router is remembered, in milliseconds.
 const ENDED_RETENTION_MS: u64 = 60_000;
 /// Pause between two rounds of probes of unreachable routers, in milliseconds.
@@ -75,6 +76,9 @@
 /// The first version of the messages between routers in which a relay says how current its
 /// routing table is.
 const TABLE_PROOF_PROTOCOL: u32 = 8;
+/// The first version of the messages between routers that has lists of open reservations
+/// and transfers whose reply may be lost.
+const OPEN_RESERVATIONS_PROTOCOL: u32 = 9;
 /// Shortest interval between two messages with observations to a peer, in
 /// milliseconds.
 const MIN_SHARE_INTERVAL_MS: u64 = 100;
@@ -130,6 +134,12 @@
         self.protocol >= OPERATOR_KEYS_PROTOCOL
     }
 
+    /// Returns whether the router reads lists of open reservations, and delivers
+    /// transfers whose reply may be lost.
+    pub(crate) fn reads_open_reservations(&self) -> bool {
+        self.protocol >= OPEN_RESERVATIONS_PROTOCOL
+    }
+
     /// Returns whether the router says how current its routing table is.
     pub(crate) fn proves_tables(&self) -> bool {
         self.protocol >= TABLE_PROOF_PROTOCOL
@@ -497,6 +507,14 @@
             .cloned()
     }
 
+    /// Returns whether a later router runs on the VM of a router, which proves that it has
+    /// ended.
+    pub(crate) fn has_ended(&self, instance: &RouterInstance) -> bool {
+        let peers = self.lock();
+        let current = peers.get(&instance.vm);
+        current.is_some_and(|peer| peer.instance.incarnation != instance.incarnation)
+    }
+
     /// Returns the VM whose router has the peer address `address`.
     pub(crate) fn vm_at(&self, address: &str) -> Option<String> {
         let peers = self.lock();
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -258,6 +258,20 @@
             shared.budgets.settle_for(&settlements);
             PeerResponse::Done(true)
         }
+        PeerRequest::SettleReservations { requester, batch } => {
+            shared.budgets.apply_settlements(requester, &batch);
+            PeerResponse::Done(true)
+        }
+        PeerRequest::RequestTransferFor {
+            requester,
+            organisation,
+            tokens,
+        } => PeerResponse::Transfer(
+            shared
+                .budgets
+                .issue_transfer_to(requester, &organisation, tokens)
+                .await,
+        ),
         PeerRequest::RequestTransfer {
             organisation,
             tokens,
@@ -402,7 +416,8 @@
         // Callers' connections are read before the first check.
         tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
         let open = shared.open_requests.load(Ordering::Relaxed) > 0
-            || shared.budgets.has_remote_reservations();
+            || shared.budgets.has_remote_reservations()
+            || shared.budgets.has_unacknowledged_settlements();
         if !open || tokio::time::Instant::now() >= drain_deadline {
             break;
         }
--- a/crates/peridotslip/src/ledger.rs
+++ b/crates/peridotslip/src/ledger.rs
@@ -24,6 +24,7 @@
 mod local_ledger;
 mod reconcile;
 mod record;
+mod remote_reservations;
 mod report;
 mod usage;
 
@@ -33,6 +34,9 @@
 pub use self::local_ledger::{LocalLedger, RefillPolicy, ReplySummary, Reservation, ReserveResult};
 pub use self::reconcile::{EndedBound, Holding};
 pub use self::record::{GrantHolder, KeyEntry, KeyState, ShardRecord};
+pub use self::remote_reservations::{
+    OpenReservations, RemoteReservations, RequestedReservations, SettlementBatch,
+};
 pub use self::report::{
     Bill, BudgetReport, Claim, ClaimStatus, GrantReply, GrantTransfer, Outcome, Report,
     ReportReply, Settlement, SettlementStatus,
