Close connections to peers that are silent while a call waits

Cause: A call for the table is held by its relay for up to 5 s and given up after 8 s. On a connection that is silent it learnt nothing, while calls for servers, on a newer connection to the same relay, were answered and told only that a change is lacking; the follower waited 5 s from its call and 3 s from that knowledge before it called anew. Ruled out: the relay, which had read the change.

Change: While a call waits and no byte arrives for 500 ms, the connection is checked with an HTTP/2 ping, and closed after another 750 ms without a byte. Its calls fail and are made again on a new connection. This holds for all calls between routers, so for operators' keys, routers' entries and servers too. A transfer that goes on is never broken off.

--- a/crates/peridotslip-edge/src/lib.rs
+++ b/crates/peridotslip-edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod registry;
 mod request_body;
 mod rpc;
+mod rpc_liveness;
 mod run;
 mod server_limits;
 mod server_versions;
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -19,7 +19,10 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::port_connections::{LastUse, PortConnections};
+use crate::{
+    port_connections::{LastUse, PortConnections},
+    rpc_liveness::{Activity, CountedStream},
+};
 
 /// Longest wait for a new connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
@@ -73,7 +76,14 @@
     fn is_idempotent(&self) -> bool;
 }
 
-type Connections = HashMap<String, SendRequest<Bytes>>;
+/// A connection to a peer.
+#[derive(Clone)]
+struct Connection {
+    sender: SendRequest<Bytes>,
+    activity: Arc<Activity>,
+}
+
+type Connections = HashMap<String, Connection>;
 
 fn encode<T: Serialize>(value: &T) -> Option<Bytes> {
     let buf = bincode::serde::encode_to_vec(value, bincode::config::standard());
@@ -138,7 +148,8 @@
         let broken = || Error::Broken(address.to_owned());
         let body = encode(message).ok_or_else(broken)?;
         let connection = self.connection(address).await?;
-        let mut ready = connection.ready().await.map_err(|_| broken())?;
+        let _waiting = connection.activity.begin_call();
+        let mut ready = connection.sender.ready().await.map_err(|_| broken())?;
         let request = Request::post(format!("http://{address}/"))
             .body(())
             .map_err(|_| broken())?;
@@ -150,7 +161,7 @@
         decode(buf.as_ref()).ok_or_else(broken)
     }
 
-    async fn connection(&self, address: &str) -> Result<SendRequest<Bytes>> {
+    async fn connection(&self, address: &str) -> Result<Connection> {
         if let Some(connection) = self.lock().get(address) {
             return Ok(connection.clone());
         }
@@ -164,16 +175,35 @@
     }
 }
 
-async fn open(address: &str) -> Option<SendRequest<Bytes>> {
+async fn open(address: &str) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (sender, connection) = h2::client::handshake(stream).await.ok()?;
+    let activity = Arc::new(Activity::default());
+    let stream = CountedStream::new(stream, activity.clone());
+    let (sender, mut connection) = h2::client::handshake(stream).await.ok()?;
+    let pings = connection.ping_pong();
+    let (address, watched) = (address.to_owned(), activity.clone());
     tokio::spawn(async move {
-        if let Err(err) = connection.await {
-            log::debug!("a connection to a peer failed: {err}");
+        let silent = async {
+            match pings {
+                Some(pings) => watched.wait_silent(pings).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            // What has arrived is read before the connection counts as silent.
+            biased;
+            ended = connection => {
+                if let Err(err) = ended {
+                    log::debug!("a connection to a peer failed: {err}");
+                }
+            }
+            () = silent => {
+                log::info!(address = address.as_str(); "connection to a peer is silent while a call waits; closing it");
+            }
         }
     });
-    Some(sender)
+    Some(Connection { sender, activity })
 }
 
 /// Reads a complete message. Returns `None` if the stream fails, the message is longer
