--- a/crates/peridotslip-daemon/tests/faulty_answers.rs
+++ b/crates/peridotslip-daemon/tests/faulty_answers.rs
@@ -4,8 +4,10 @@
 mod common;
 
 use std::{
+    collections::BTreeSet,
     io::{Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -58,6 +60,11 @@
 
 /// Starts a router whose requests for `/faulty` reach a server that sends `answer`.
 fn start(answer: &str) -> Fleet {
+    start_with(start_server(answer.to_owned()))
+}
+
+/// Starts a router whose requests for `/faulty` reach the server at `address`.
+fn start_with(address: String) -> Fleet {
     let route = "  - {name: faulty, organisation: muscat, path: /faulty, pool: muscat-orders, tokens_per_call: 1, deadline_ms: 2000}\n";
     let tables = TableOptions {
         extra_routes: route.to_owned(),
@@ -68,7 +75,7 @@
         engines: 1,
         ..FleetOptions::default()
     });
-    fleet.services = vec![start_server(answer.to_owned())];
+    fleet.services = vec![address];
     fleet.apply(&tables);
     fleet
 }
@@ -117,3 +124,71 @@
         );
     }
 }
+
+/// Starts a server that breaks `answer` off after as many bytes as the request's body has.
+/// Returns its address and the lengths that it has sent.
+fn start_breaking_server(answer: String) -> (String, Arc<Mutex<BTreeSet<usize>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let sent = Arc::new(Mutex::new(BTreeSet::new()));
+    let shared = sent.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (answer, sent) = (answer.clone(), shared.clone());
+            thread::spawn(move || break_off(stream, &answer, &sent));
+        }
+    });
+    (address, sent)
+}
+
+fn break_off(mut stream: TcpStream, answer: &str, sent: &Mutex<BTreeSet<usize>>) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if !stream.read(&mut byte).is_ok_and(|count| count > 0) {
+            return;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap().to_lowercase();
+    let length = head.split("\r\ncontent-length: ").nth(1);
+    let length = length.and_then(|rest| rest.split("\r\n").next());
+    let length: usize = length.unwrap().parse().unwrap();
+    let mut body = vec![0; length];
+    if stream.read_exact(&mut body).is_ok() {
+        // The router may have given the request up.
+        stream.write_all(&answer.as_bytes()[..length]).ok();
+        sent.lock().unwrap().insert(length);
+    }
+}
+
+/// Guards against MIXED: an answer whose head broke off, or that ended before its framing
+/// says so, reached the caller as a success with an empty or short body.
+#[test]
+fn answers_that_break_off_anywhere_are_never_whole() {
+    let _exclusive = exclusive();
+    for framed in [
+        "Content-Length: 4\r\n\r\nfine",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+    ] {
+        let answer = format!("HTTP/1.1 200 OK\r\nX-Other: a\r\n{framed}");
+        let (address, sent) = start_breaking_server(answer.clone());
+        let fleet = start_with(address);
+
+        for length in 1..answer.len() {
+            let (status, text) = send(&fleet, length);
+
+            let is_success = (200..300).contains(&status) && text.is_some();
+            assert!(
+                !is_success,
+                "{length} bytes of {answer:?}: {status} {text:?}"
+            );
+            // A server that only fails gets no more requests for some time.
+            let whole = send(&fleet, answer.len());
+            assert_eq!((whole.0, whole.1.as_deref()), (200, Some("fine")));
+        }
+
+        let all: BTreeSet<usize> = (1..=answer.len()).collect();
+        assert_eq!(*sent.lock().unwrap(), all, "cuts that a server has made");
+    }
+}
