Hand over the reservations of an owner that stops

What callers saw: tokens of streams that outlasted the planned stop of their budget's owner were not available again.

Cause: The reservations were lost with the owner's process, and their settlements had no receiver. Ruled out: the wait of the stop, which ends with the grace.

Change: Before its last exchange a stopping owner turns each open reservation of another router into a grant transfer and sends it there. The requester settles the request from then on; of one that has ended meanwhile it settles what was used. A reservation that the owner's own grant does not cover stays where it is.

--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -45,7 +45,7 @@
 /// This router's reservations at one owner.
 pub(super) struct OwnerLink {
     owner: RouterInstance,
-    reservations: RequestedReservations,
+    pub(super) reservations: RequestedReservations,
     is_sending: bool,
     /// When settlements were last sent.
     sent_at: Option<Instant>,
@@ -147,6 +147,12 @@
 
     fn end_remote_reservation(&self, owner: Incarnation, seq: u64, used: u64) {
         let mut links = lock(&self.owner_links);
+        let adopted = lock(&self.adopted).remove(&(owner, seq));
+        if let Some((organisation, reservation)) = adopted {
+            drop(links);
+            self.settle_locally(&organisation, reservation, used);
+            return;
+        }
         // The owner of a link that is gone has ended.
         let Some(link) = links.get_mut(&owner) else {
             return;
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -262,6 +262,16 @@
             shared.budgets.apply_settlements(requester, &batch);
             PeerResponse::Done(true)
         }
+        PeerRequest::HandOverReservations {
+            requester,
+            owner,
+            reservations,
+        } => {
+            shared
+                .budgets
+                .accept_reservations(requester, owner, reservations);
+            PeerResponse::Done(true)
+        }
         PeerRequest::RequestTransferFor {
             requester,
             organisation,
@@ -422,6 +432,7 @@
             break;
         }
     }
+    shared.budgets.hand_over_reservations().await;
     shared
         .budgets
         .close(Duration::from_millis(RETURN_GRANTS_TIMEOUT_MS))
--- a/crates/peridotslip/src/ledger/remote_reservations.rs
+++ b/crates/peridotslip/src/ledger/remote_reservations.rs
@@ -36,6 +36,15 @@
     pub open: Option<OpenReservations>,
 }
 
+/// The state of a reservation that its owner hands over to the requester.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandedOver {
+    /// A request uses it.
+    InUse,
+    /// Its request has ended and used so many tokens.
+    Ended(u64),
+}
+
 /// A requester's reservations at one owner.
 #[derive(Clone, Debug, Default)]
 pub struct RequestedReservations {
@@ -78,6 +87,15 @@
         true
     }
 
+    /// Forgets a reservation that the owner has handed over to this requester.
+    pub fn take(&mut self, number: u64) -> HandedOver {
+        if self.open.remove(&number) {
+            return HandedOver::InUse;
+        }
+        let used = self.ended.remove(&number);
+        HandedOver::Ended(used.unwrap_or(0))
+    }
+
     /// Returns whether the owner has acknowledged everything that has ended.
     #[must_use]
     pub fn is_acknowledged(&self) -> bool {
@@ -222,6 +240,11 @@
         self.held.is_empty()
     }
 
+    /// Removes all reservations and returns them with their numbers.
+    pub fn take_all(&mut self) -> Vec<(u64, T)> {
+        std::mem::take(&mut self.held).into_iter().collect()
+    }
+
     /// Removes the reservations that `filter` selects.
     pub fn take_if(&mut self, mut filter: impl FnMut(&T) -> bool) -> Vec<T> {
         let held = std::mem::take(&mut self.held);
--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -67,6 +67,11 @@
         noted_by: usize,
         skipped: usize,
     },
+    /// A router hands a reservation over to another one.
+    HandOver {
+        from: usize,
+        to: usize,
+    },
     /// A router that reaches no other names no witnesses.
     DropWitnesses {
         router: usize,
@@ -97,6 +102,7 @@
         3 => (0..64_usize).prop_map(|message| Step::Accept { message }),
         2 => (router(), 0..WITNESSES, 1..ROUTERS)
             .prop_map(|(router, noted_by, skipped)| Step::Rechoose { router, noted_by, skipped }),
+        2 => (router(), router()).prop_map(|(from, to)| Step::HandOver { from, to }),
         1 => router().prop_map(|router| Step::DropWitnesses { router }),
         1 => router().prop_map(|router| Step::Kill { router }),
         3 => (0..16_usize).prop_map(|dead| Step::Release { dead }),
@@ -387,6 +393,18 @@
                     self.choose_witnesses(router, noted_by, skipped);
                 }
             }
+            Step::HandOver { from, to } => {
+                let Some(reservation) = self.processes[from].reservations.pop() else {
+                    return;
+                };
+                match self.processes[from].ledger.hand_over(reservation) {
+                    Ok(transfer) => {
+                        let adopted = self.processes[to].ledger.adopt(transfer);
+                        self.processes[to].reservations.extend(adopted);
+                    }
+                    Err(reservation) => self.processes[from].reservations.push(reservation),
+                }
+            }
             Step::DropWitnesses { router } => {
                 let process = &mut self.processes[router];
                 if process.witnesses.required(|_| true).len() < 2 {
