Bound a budget without witnesses after the store's first restore

Cause: A router that had released its witnesses in a store without epochs had no ceiling; once the store names an epoch, grants that a copy may lack were not bounded.

Change: A budget without witnesses gets its ceiling whenever the store has an epoch, not only with the release.

No test shows the case by itself.

--- a/crates/peridotslip-edge/src/budgets/witness.rs
+++ b/crates/peridotslip-edge/src/budgets/witness.rs
@@ -94,6 +94,8 @@
                     && !self.required_witness_sets(budget).is_empty()
             {
                 self.release_witnesses(budget).await;
+            } else {
+                self.bound_unwitnessed(budget);
             }
             return;
         }
@@ -134,15 +136,25 @@
         let _ceiling_guard = budget.ceiling_lock.lock().await;
         let mut state = budget.lock();
         let (used, ceiling) = state.ledger.max_used(&budget.name);
-        if self.epoch() > StoreEpoch::default() {
-            // No grant has been used without a record of it elsewhere.
-            let ceiling = ceiling.unwrap_or(used);
-            state.ledger.set_ceiling(&budget.name, Some(ceiling));
-        }
         state.ledger.set_witnesses(Vec::new());
         drop(state);
         log::warn!(budget = budget.name.as_str(), used, ceiling; "no router is reachable to record the ceiling; releasing the witnesses");
         lock(&budget.witnesses).push(Vec::new());
+        self.bound_unwitnessed(budget);
+    }
+
+    /// Sets a ceiling for a budget without witnesses in a store that can be restored: nothing
+    /// else shows how much of its later grants is used. [`lift_ceiling`](Self::lift_ceiling)
+    /// raises it.
+    fn bound_unwitnessed(&self, budget: &ManagedBudget) {
+        if !self.needs_durable_grant(budget) {
+            return;
+        }
+        let mut state = budget.lock();
+        let (used, ceiling) = state.ledger.max_used(&budget.name);
+        if ceiling.is_none() {
+            state.ledger.set_ceiling(&budget.name, Some(used));
+        }
     }
 
     /// Returns whether the use of the budget is bounded by the grant that a restore
