Count received bytes with a library, and name what is handed over

Change: tokio-util's InspectReader counts the bytes of peers' connections. Only reservations of requesters that know the message are taken.

--- a/crates/peridotslip-edge/src/budgets/hand_over.rs
+++ b/crates/peridotslip-edge/src/budgets/hand_over.rs
@@ -11,6 +11,7 @@
 use super::{
     BudgetManager, CALL_SLACK_MS, HandedOverReservation, PeerRequest, lock, settle::HeldReservation,
 };
+use crate::peers::RouterInstance;
 
 /// Number of times that reservations are handed over to a requester that does not respond.
 const ATTEMPTS: u32 = 3;
@@ -19,22 +20,20 @@
     /// Hands the reservations of other routers over to them. The tokens of those that
     /// can't be handed over stay booked in this router's grant.
     pub(crate) async fn hand_over_reservations(self: &Arc<Self>) {
-        let mut held: Vec<_> = Vec::new();
+        let mut taken = Vec::new();
         for (requester, reservations) in lock(&self.remote_reservations).iter_mut() {
-            held.push((*requester, reservations.take_all()));
-        }
-        let deliveries = held.into_iter().map(|(requester, held)| async move {
-            let knows_message = self
-                .peers
-                .by_incarnation(requester)
-                .is_some_and(|instance| instance.reads_open_reservations());
-            if !knows_message {
-                return;
+            let instance = self.peers.by_incarnation(*requester);
+            let instance = instance.filter(RouterInstance::reads_open_reservations);
+            if let Some(instance) = instance
+                && !reservations.is_empty()
+            {
+                taken.push((instance, reservations.take_all()));
             }
-            let handed_over = held.into_iter();
-            let handed_over = handed_over.filter_map(|(seq, held)| self.transfer_held(seq, held));
+        }
+        let deliveries = taken.into_iter().map(|(requester, held)| {
+            let held = held.into_iter();
+            let handed_over = held.filter_map(|(seq, held)| self.transfer_held(seq, held));
             self.deliver_reservations(requester, handed_over.collect())
-                .await;
         });
         join_all(deliveries).await;
     }
@@ -52,18 +51,12 @@
 
     async fn deliver_reservations(
         &self,
-        requester: Incarnation,
+        requester: RouterInstance,
         reservations: Vec<HandedOverReservation>,
     ) {
-        let Some(instance) = self.peers.by_incarnation(requester) else {
-            return;
-        };
-        if reservations.is_empty() {
-            return;
-        }
-        let (peer, count) = (instance.vm.as_str(), reservations.len());
+        let (peer, count) = (requester.vm.as_str(), reservations.len());
         let request = PeerRequest::HandOverReservations {
-            requester,
+            requester: requester.incarnation,
             owner: self.peers.local().incarnation,
             reservations,
         };
@@ -71,7 +64,7 @@
         for _ in 0..ATTEMPTS {
             if let Ok(true) = self
                 .peers
-                .call::<_, bool>(&instance, &request, timeout)
+                .call::<_, bool>(&requester, &request, timeout)
                 .await
             {
                 log::info!(peer, count; "handed open reservations over to their requester");
--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -18,10 +18,11 @@
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::io::InspectReader;
 
 use crate::{
     port_connections::{LastUse, PortConnections},
-    rpc_liveness::{Activity, CountedStream},
+    rpc_liveness::Activity,
 };
 
 /// Longest wait for a new connection, in milliseconds.
@@ -179,7 +180,10 @@
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let activity = Arc::new(Activity::default());
-    let stream = CountedStream::new(stream, activity.clone());
+    let received = activity.clone();
+    let stream = InspectReader::new(stream, move |buf: &[u8]| {
+        received.record_received(buf.len())
+    });
     let (sender, mut connection) = h2::client::handshake(stream).await.ok()?;
     let pings = connection.ping_pong();
     let (address, watched) = (address.to_owned(), activity.clone());
--- a/crates/peridotslip-edge/src/rpc_liveness.rs
+++ b/crates/peridotslip-edge/src/rpc_liveness.rs
@@ -5,22 +5,16 @@
 //! that stays silent is closed, so that its calls are made again on another connection.
 
 use std::{
-    io,
-    pin::{Pin, pin},
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
     time::Duration,
 };
 
 use h2::{Ping, PingPong};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-    sync::Notify,
-};
+use tokio::sync::Notify;
 
 /// Time without a byte after which a connection with a waiting call is checked, in
 /// milliseconds.
@@ -44,6 +38,12 @@
         WaitingCall(self.clone())
     }
 
+    /// Counts bytes that have arrived.
+    pub(crate) fn record_received(&self, bytes: usize) {
+        self.received_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     fn received_bytes(&self) -> u64 {
         self.received_bytes.load(Ordering::Relaxed)
     }
@@ -89,60 +89,3 @@
         self.0.waiting_calls.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// A connection whose received bytes are counted.
-pub(crate) struct CountedStream {
-    stream: TcpStream,
-    activity: Arc<Activity>,
-}
-
-impl CountedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
-    }
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let received = (buf.filled().len() - before) as u64;
-        let count = &self.activity.received_bytes;
-        count.fetch_add(received, Ordering::Relaxed);
-        polled
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
