--- a/crates/peridotslip-edge/src/rpc.rs
+++ b/crates/peridotslip-edge/src/rpc.rs
@@ -182,7 +182,7 @@
     let activity = Arc::new(Activity::default());
     let received = activity.clone();
     let stream = InspectReader::new(stream, move |buf: &[u8]| {
-        received.record_received(buf.len())
+        received.record_received(buf.len());
     });
     let (sender, mut connection) = h2::client::handshake(stream).await.ok()?;
     let pings = connection.ping_pong();
