Search for reservations of ended routers once a second

Cause: Each message of settlements compared all requesters with the fleet. Read in the code.

Change: The search runs at most once a second.

Its cost was not measured.

--- a/crates/peridotslip-edge/src/budgets.rs
+++ b/crates/peridotslip-edge/src/budgets.rs
@@ -139,6 +139,9 @@
     budgets: Mutex<HashMap<OrganisationName, Arc<ManagedBudget>>>,
     /// Open reservations of other routers at this router, by requester.
     remote_reservations: Mutex<HashMap<Incarnation, RemoteReservations<HeldReservation>>>,
+    /// When reservations of routers that have ended are next searched for, in milliseconds
+    /// of the router's clock.
+    next_expiry_ms: AtomicU64,
     /// This router's reservations at other routers, by owner.
     owner_links: Mutex<HashMap<Incarnation, OwnerLink>>,
     /// Reservations of this router's requests that their owners have handed over, by
@@ -178,6 +181,7 @@
             settings,
             budgets: Mutex::default(),
             remote_reservations: Mutex::default(),
+            next_expiry_ms: AtomicU64::new(0),
             owner_links: Mutex::default(),
             adopted: Mutex::default(),
             settlement_queued: Notify::new(),
--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -23,6 +23,9 @@
 /// The age at which the reservation of a router that has ended counts as spent, in
 /// milliseconds: longer than any request lasts.
 const REMOTE_RESERVATION_AGE_MS: u64 = 60_000;
+/// Shortest interval between two searches for such reservations, in milliseconds. A search
+/// compares all requesters with the fleet.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
 
 /// A reservation of another router at this one.
 #[derive(Debug)]
@@ -100,6 +103,12 @@
     /// Counts the old reservations of routers that have ended as spent. A router that
     /// still runs settles its reservations, however late.
     fn expire_remote_reservations(&self) {
+        let now_ms = self.clock.now_ms();
+        if now_ms < self.next_expiry_ms.load(Ordering::Relaxed) {
+            return;
+        }
+        let next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
+        self.next_expiry_ms.store(next_expiry_ms, Ordering::Relaxed);
         let age = Duration::from_millis(REMOTE_RESERVATION_AGE_MS);
         let running = self.peers.incarnations();
         let mut expired = Vec::new();
