--- a/crates/peridotslip-edge/src/budgets/hand_over.rs
+++ b/crates/peridotslip-edge/src/budgets/hand_over.rs
@@ -24,10 +24,8 @@
         for (requester, reservations) in lock(&self.remote_reservations).iter_mut() {
             let instance = self.peers.by_incarnation(*requester);
             let instance = instance.filter(RouterInstance::reads_open_reservations);
-            if let Some(instance) = instance
-                && !reservations.is_empty()
-            {
-                taken.push((instance, reservations.take_all()));
+            if let Some(instance) = instance {
+                taken.push((instance, reservations.hand_over()));
             }
         }
         let deliveries = taken.into_iter().map(|(requester, held)| {
@@ -54,6 +52,9 @@
         requester: RouterInstance,
         reservations: Vec<HandedOverReservation>,
     ) {
+        if reservations.is_empty() {
+            return;
+        }
         let (peer, count) = (requester.vm.as_str(), reservations.len());
         let request = PeerRequest::HandOverReservations {
             requester: requester.incarnation,
--- a/crates/peridotslip-edge/src/budgets/settle.rs
+++ b/crates/peridotslip-edge/src/budgets/settle.rs
@@ -89,15 +89,23 @@
     }
 
     /// Settles the reservations of `requester` that have ended, and releases those that it
-    /// no longer knows.
-    pub(crate) fn apply_settlements(&self, requester: Incarnation, batch: &SettlementBatch) {
+    /// no longer knows. Returns `false` if they have been handed over to it.
+    pub(crate) fn apply_settlements(
+        &self,
+        requester: Incarnation,
+        batch: &SettlementBatch,
+    ) -> bool {
         let mut remote = lock(&self.remote_reservations);
-        let ended = remote.entry(requester).or_default().apply(batch);
+        let applied = remote.entry(requester).or_default().apply(batch);
         drop(remote);
+        let Some(ended) = applied else {
+            return false;
+        };
         for (held, used) in ended {
             self.settle_locally(&held.organisation, held.reservation, used);
         }
         self.expire_remote_reservations();
+        true
     }
 
     /// Counts the old reservations of routers that have ended as spent. A router that
@@ -248,7 +256,9 @@
         };
         link.is_sending = false;
         match reply {
-            Ok(_) => link.reservations.acknowledge(&batch, lost_replies),
+            Ok(true) => link.reservations.acknowledge(&batch, lost_replies),
+            // The owner stops and hands the reservations over.
+            Ok(false) => {}
             Err(err) => {
                 let settlements = batch.settlements.len();
                 log::info!(home = owner.vm.as_str(), settlements, reason = err.to_string().as_str(); "owner did not acknowledge settlements; sending them again");
--- a/crates/peridotslip-edge/src/run.rs
+++ b/crates/peridotslip-edge/src/run.rs
@@ -259,8 +259,7 @@
             PeerResponse::Done(true)
         }
         PeerRequest::SettleReservations { requester, batch } => {
-            shared.budgets.apply_settlements(requester, &batch);
-            PeerResponse::Done(true)
+            PeerResponse::Done(shared.budgets.apply_settlements(requester, &batch))
         }
         PeerRequest::HandOverReservations {
             requester,
--- a/crates/peridotslip/src/ledger/remote_reservations.rs
+++ b/crates/peridotslip/src/ledger/remote_reservations.rs
@@ -157,6 +157,8 @@
     open: BTreeSet<u64>,
     /// Numbers from `listed_next` on that have been settled.
     settled: BTreeSet<u64>,
+    /// Whether the requester settles its reservations itself from now on.
+    is_handed_over: bool,
 }
 
 impl<T> Default for RemoteReservations<T> {
@@ -166,6 +168,7 @@
             listed_next: 0,
             open: BTreeSet::new(),
             settled: BTreeSet::new(),
+            is_handed_over: false,
         }
     }
 }
@@ -180,7 +183,8 @@
     /// Returns whether the requester has ended a reservation, which must not be made then.
     #[must_use]
     pub fn is_closed(&self, number: u64) -> bool {
-        self.settled.contains(&number)
+        self.is_handed_over
+            || self.settled.contains(&number)
             || (number < self.listed_next && !self.open.contains(&number))
     }
 
@@ -194,8 +198,12 @@
     }
 
     /// Applies a message and returns the reservations that it ends, each with the tokens
-    /// used.
-    pub fn apply(&mut self, batch: &SettlementBatch) -> Vec<(T, u64)> {
+    /// used. Returns `None` if the reservations have been handed over: the message must not be
+    /// acknowledged then, or the requester would forget what it has to settle itself.
+    pub fn apply(&mut self, batch: &SettlementBatch) -> Option<Vec<(T, u64)>> {
+        if self.is_handed_over {
+            return None;
+        }
         let mut ended = Vec::new();
         for (number, used) in &batch.settlements {
             self.open.remove(number);
@@ -203,11 +211,11 @@
             ended.extend(self.held.remove(number).map(|held| (held, *used)));
         }
         let Some(list) = &batch.open else {
-            return ended;
+            return Some(ended);
         };
         // Messages may arrive in another order than they were sent.
         if list.next < self.listed_next {
-            return ended;
+            return Some(ended);
         }
         let listed: BTreeSet<u64> = list.open.iter().copied().collect();
         let (open, listed_next) = (&self.open, self.listed_next);
@@ -226,7 +234,7 @@
         for number in closed {
             ended.extend(self.held.remove(&number).map(|held| (held, 0)));
         }
-        ended
+        Some(ended)
     }
 
     /// Ends one reservation of a requester that sends no lists.
@@ -240,8 +248,10 @@
         self.held.is_empty()
     }
 
-    /// Removes all reservations and returns them with their numbers.
-    pub fn take_all(&mut self) -> Vec<(u64, T)> {
+    /// Removes all reservations and returns them with their numbers, to be handed over to
+    /// the requester. No others are made for it.
+    pub fn hand_over(&mut self) -> Vec<(u64, T)> {
+        self.is_handed_over = true;
         std::mem::take(&mut self.held).into_iter().collect()
     }
 
--- a/crates/peridotslip/tests/escrow.rs
+++ b/crates/peridotslip/tests/escrow.rs
@@ -557,3 +557,31 @@
 
     assert_eq!(ledger.spendable(&budget), PAID / 4);
 }
+
+/// Guards against BUDGET: the transfer of a reservation that was handed over was closed
+/// while the request ran, so that the request used the own grant beyond the ceiling.
+#[test]
+fn a_handed_over_transfer_is_kept_while_the_ceiling_does_not_cover_its_request() {
+    let budget = BudgetName::from(BUDGET);
+    let mut process = Process::new(1);
+    let mut record = ShardRecord::default();
+    let report = process.ledger.report(0);
+    process.ledger.accept(&record.apply(&report, 0));
+    assert!(process.ledger.spendable(&budget) > 100);
+    process.ledger.set_ceiling(&budget, Some(40));
+    let transfer = GrantTransfer {
+        issuer: 2.into(),
+        seq: 1,
+        budget: budget.clone(),
+        tokens: 100,
+    };
+
+    let adopted = process.ledger.adopt(transfer).unwrap();
+    process.ledger.close_transfers();
+
+    assert!(process.ledger.has_open_transfers());
+    process.ledger.settle(adopted, Bill::new(None, 90), 0);
+    assert_eq!(process.ledger.max_used(&budget).0, 0);
+    process.ledger.close_transfers();
+    assert!(!process.ledger.has_open_transfers());
+}
